--- /dev/null
+++ b/hornbeamdeal/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission of entry hosts."""
--- /dev/null
+++ b/hornbeamdeal/steering/__init__.py
@@ -0,0 +1,1 @@
+"""Steering of entry hosts."""
--- /dev/null
+++ b/hornbeamdeal/wire/_generated/peer/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- /dev/null
+++ b/hornbeamdeal/wire/_peer.py
@@ -0,0 +1,118 @@
+"""Authenticated envelopes between entry hosts, in thrift's compact protocol."""
+
+import hmac
+from dataclasses import dataclass
+from hashlib import blake2b
+from typing import Any
+
+from result import Err, Ok, Result
+from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
+from thrift.Thrift import TException
+from thrift.TSerialization import deserialize, serialize
+
+from ._errors import MalformedMessageError
+from ._generated.peer import ttypes
+
+MAC_BYTES = 16
+MAXIMUM_DATAGRAM_BYTES = 1200
+MINIMUM_KEY_BYTES = 16
+
+_factory = TCompactProtocolAcceleratedFactory()
+_FIELD_BY_TYPE = {
+    ttypes.Ping: "ping",
+    ttypes.PingReply: "ping_reply",
+    ttypes.PingRequest: "ping_request",
+    ttypes.JoinRequest: "join_request",
+    ttypes.JoinReply: "join_reply",
+    ttypes.VersionOffer: "version_offer",
+    ttypes.ManifestRequest: "manifest_request",
+    ttypes.Manifest: "manifest",
+    ttypes.SegmentRequest: "segment_request",
+    ttypes.Segments: "segments",
+    ttypes.FlowRecords: "flow_records",
+    ttypes.RelayedPacket: "relayed_packet",
+    ttypes.RelayedRequest: "relayed_request",
+    ttypes.IncarnationGone: "incarnation_gone",
+}
+
+
+@dataclass(frozen=True, slots=True)
+class PeerDatagram:
+    """An authenticated message with its sender."""
+
+    host_id: str
+    incarnation: int
+    sequence: int
+    message: Any
+
+
+class PeerCodec:
+    """Seals and opens messages between entry hosts.
+
+    Parameters
+    ----------
+    host_id : str
+        Identifier of the sending host.
+    incarnation : int
+        Number drawn by the sender at its start.
+    keys_by_id : dict of int to bytes
+        Keys that are accepted; key identifiers are 0 to 255.
+    sending_key_id : int
+        Identifier of the key that seals outgoing messages.
+    """
+
+    __slots__ = ("host_id", "incarnation", "keys_by_id", "sending_key_id", "sequence_")
+
+    def __init__(self, *, host_id, incarnation, keys_by_id, sending_key_id):
+        self.host_id = host_id
+        self.incarnation = incarnation
+        self.keys_by_id = keys_by_id
+        self.sending_key_id = sending_key_id
+        self.sequence_ = 0
+
+    def encode(self, message: Any) -> bytes:
+        """Seal a message; each call uses the next sequence number."""
+        self.sequence_ += 1
+        field_name = _FIELD_BY_TYPE[type(message)]
+        envelope = ttypes.Envelope(
+            self.host_id,
+            self.incarnation,
+            self.sequence_,
+            ttypes.PeerMessage(**{field_name: message}),
+        )
+        body = bytes([self.sending_key_id]) + serialize(envelope, _factory)
+        return self._mac(self.sending_key_id, body) + body
+
+    def decode(self, data: bytes) -> Result[PeerDatagram, MalformedMessageError]:
+        """Check a sealed message and return it with its sender."""
+        body = data[MAC_BYTES:]
+        if len(body) < 2 or body[0] not in self.keys_by_id:
+            return Err(MalformedMessageError("unknown_key", f"{len(data)} bytes"))
+        if not hmac.compare_digest(data[:MAC_BYTES], self._mac(body[0], body)):
+            return Err(MalformedMessageError("bad_mac", "peer key differs"))
+        try:
+            envelope = deserialize(ttypes.Envelope(), body[1:], _factory)
+        except (TException, EOFError, ValueError, TypeError) as error:
+            return Err(MalformedMessageError("bad_thrift", repr(error)))
+        message = _union_value(envelope.message)
+        if message is None:
+            return Err(MalformedMessageError("unknown_message", envelope.host_id))
+        return Ok(
+            PeerDatagram(
+                envelope.host_id, envelope.incarnation, envelope.sequence, message
+            )
+        )
+
+    def _mac(self, key_id: int, body: bytes) -> bytes:
+        key = self.keys_by_id[key_id]
+        return blake2b(body, key=key, digest_size=MAC_BYTES).digest()
+
+
+def _union_value(union: ttypes.PeerMessage | None) -> Any:
+    if union is None:
+        return None
+    for field_name in _FIELD_BY_TYPE.values():
+        value = getattr(union, field_name)
+        if value is not None:
+            return value
+    return None
--- /dev/null
+++ b/hornbeamdeal/wire/_proxy.py
@@ -0,0 +1,87 @@
+"""PROXY protocol version 2 headers on datagrams.
+
+The header follows "The PROXY protocol, versions 1 & 2" (W. Tarreau, 2020).
+"""
+
+import socket
+from dataclasses import dataclass
+from functools import lru_cache
+from ipaddress import ip_address
+
+from proxyprotocol import ProxyProtocolIncompleteError, ProxyProtocolSyntaxError
+from proxyprotocol.result import ProxyResultIPv4, ProxyResultIPv6
+from proxyprotocol.tlv import ProxyProtocolTLV
+from proxyprotocol.v2 import ProxyProtocolV2
+from result import Err, Ok, Result
+
+from hornbeamdeal.kernel import Endpoint
+
+from ._errors import MalformedMessageError
+
+HEADER_BYTES = 16
+# Callers return for many packets, so packed headers are worth keeping.
+HEADER_CACHE_ENTRIES = 4096
+
+_HEADER_ERRORS = (
+    ProxyProtocolIncompleteError,
+    ProxyProtocolSyntaxError,
+    ValueError,
+    KeyError,
+)
+
+_protocol = ProxyProtocolV2()
+
+
+@dataclass(frozen=True, slots=True)
+class ProxiedDatagram:
+    """A datagram with the endpoints of its header."""
+
+    source: Endpoint
+    destination: Endpoint
+    service: str
+    payload: bytes
+
+
+@lru_cache(maxsize=HEADER_CACHE_ENTRIES)
+def _pack_header(source: Endpoint, destination: Endpoint, service: str) -> bytes:
+    source_ip = ip_address(source.ip)
+    result_type = ProxyResultIPv4 if source_ip.version == 4 else ProxyResultIPv6
+    result = result_type(
+        (source_ip, source.port),
+        (ip_address(destination.ip), destination.port),
+        protocol=socket.SOCK_DGRAM,
+        tlv=ProxyProtocolTLV(authority=service or None),
+    )
+    return _protocol.pack(result)
+
+
+def encode_proxied(
+    source: Endpoint, destination: Endpoint, payload: bytes, service: str = ""
+) -> bytes:
+    """Prefix a payload with a PROXY header for a datagram."""
+    return _pack_header(source, destination, service) + payload
+
+
+def decode_proxied(data: bytes) -> Result[ProxiedDatagram, MalformedMessageError]:
+    """Split a datagram into its PROXY header and its payload."""
+    if len(data) < HEADER_BYTES or not _protocol.is_valid(data[:8]):
+        return Err(MalformedMessageError("no_proxy_header", f"{len(data)} bytes"))
+    try:
+        result = _protocol.unpack(data)
+        header_length = HEADER_BYTES + int.from_bytes(data[14:16], "big")
+    except _HEADER_ERRORS as error:
+        return Err(MalformedMessageError("bad_proxy_header", str(error)))
+    if not isinstance(result, ProxyResultIPv4 | ProxyResultIPv6):
+        return Err(MalformedMessageError("bad_proxy_header", "no IP addresses"))
+    if result.protocol is not socket.SOCK_DGRAM:
+        return Err(MalformedMessageError("bad_proxy_header", "not a datagram"))
+    source_ip, source_port = result.source
+    destination_ip, destination_port = result.dest
+    return Ok(
+        ProxiedDatagram(
+            Endpoint(str(source_ip), source_port),
+            Endpoint(str(destination_ip), destination_port),
+            result.tlv.authority or "",
+            data[header_length:],
+        )
+    )
--- /dev/null
+++ b/hornbeamdeal/wire/peer.thrift
@@ -0,0 +1,135 @@
+// Messages between entry hosts of one region. Field numbers are never reused.
+namespace py hornbeamdeal.wire._generated.peer
+
+struct MemberRecord {
+  1: string host_id
+  2: i64 incarnation
+  3: string ip
+  4: i32 port
+  5: string zone
+  6: i32 state          // 0 alive, 1 suspect, 2 leaving, 3 dead
+  7: i64 sequence       // raised by the member itself to refute a suspicion
+  8: i64 version_number // document in force, 0 where none
+  9: binary version_digest
+}
+
+struct Ping {
+  1: i64 nonce
+  2: list<MemberRecord> updates
+}
+
+struct PingReply {
+  1: i64 nonce
+  2: list<MemberRecord> updates
+}
+
+// Asks a peer to probe a third host.
+struct PingRequest {
+  1: i64 nonce
+  2: MemberRecord target
+  3: list<MemberRecord> updates
+}
+
+// Sent by a starting host; answered with the members known.
+struct JoinRequest {
+  1: MemberRecord member
+}
+
+struct JoinReply {
+  1: list<MemberRecord> members
+}
+
+// Greatest version that the sender knows of a topic ("document" or "hosts").
+struct VersionOffer {
+  1: string topic
+  2: i64 number
+  3: binary digest
+}
+
+struct ManifestRequest {
+  1: string topic
+  2: i64 number
+  3: binary digest
+}
+
+struct Manifest {
+  1: string topic
+  2: i64 number
+  3: binary digest
+  4: list<binary> segment_digests
+}
+
+struct SegmentRequest {
+  1: list<binary> digests
+}
+
+struct Segment {
+  1: binary digest
+  2: binary content
+}
+
+struct Segments {
+  1: list<Segment> segments
+}
+
+// A flow key and the 8-byte digest of the server that serves it.
+struct FlowRecord {
+  1: i64 key
+  2: i64 server_digest
+}
+
+// Records for their owner or its backup; `complete` ends a hand-over.
+struct FlowRecords {
+  1: i64 version_number
+  2: binary version_digest
+  3: list<FlowRecord> records
+  4: bool complete
+}
+
+struct RelayedPacket {
+  1: string caller_ip
+  2: i32 caller_port
+  3: string address_ip
+  4: i32 address_port
+  5: binary payload
+  6: i32 hops
+}
+
+struct RelayedRequest {
+  1: string caller_ip
+  2: i32 caller_port
+  3: string address_ip
+  4: i32 address_port
+  5: binary datagram
+  6: i32 hops
+}
+
+// The issuing incarnation is not there: its requests have unknown outcomes.
+struct IncarnationGone {
+  1: i64 incarnation
+  2: RelayedRequest request
+}
+
+union PeerMessage {
+  1: Ping ping
+  2: PingReply ping_reply
+  3: PingRequest ping_request
+  4: JoinRequest join_request
+  5: JoinReply join_reply
+  6: VersionOffer version_offer
+  7: ManifestRequest manifest_request
+  8: Manifest manifest
+  9: SegmentRequest segment_request
+  10: Segments segments
+  11: FlowRecords flow_records
+  12: RelayedPacket relayed_packet
+  13: RelayedRequest relayed_request
+  14: IncarnationGone incarnation_gone
+}
+
+struct Envelope {
+  1: string host_id
+  2: i64 incarnation
+  3: i64 sequence
+  4: PeerMessage message
+}
