Add settings, logs, metrics, stand-ins, load tool and entry driver

Cause: the whole path needs processes around the decision code. Ruled out: stand-ins inside the tests' process (kills and pauses would not be real) and sockets that wait on sending (one slow peer would stop the loop). Change: checked settings, key=value logs, counters by service and reason, fabric, server and platform stand-ins, load tool, trio driver.

--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstrations on loopback."""
--- /dev/null
+++ b/demo/_arequipa.py
@@ -0,0 +1,49 @@
+"""Layout and document of Arequipa: three zones, 7 entry hosts, two services."""
+
+from hornbeamdeal.standins.environment import Layout, ServiceLayout
+
+ZONES = ("aqp-cercado", "aqp-yanahuara", "aqp-cayma")
+RESERVAS_TARGETS = 7
+DEVOLUCIONES_TARGETS = 3
+
+SERVICE_TEMPLATE = """\
+  {name}:
+    addresses:
+      {name}-requests: {{kind: requests}}
+      {name}-map: {{kind: flows, codec: {codec}}}
+    work:
+      bookings: {{path: /bookings, deadline: 2s, idempotent: false}}
+      rides: {{path: /rides, deadline: 2s, idempotent: true}}
+      photos: {{path: /photos, deadline: 60s, idempotent: false, long: true}}
+    targets:
+"""
+
+
+def make_document(
+    version: int, states_by_target: dict[str, str] | None = None, codec: str = "coap"
+) -> str:
+    """Return a document in which some targets have a state of their own."""
+    states = states_by_target or {}
+    text = f"version: {version}\nservices:\n"
+    services = (("reservas", RESERVAS_TARGETS), ("devoluciones", DEVOLUCIONES_TARGETS))
+    for name, targets in services:
+        text += SERVICE_TEMPLATE.format(name=name, codec=codec)
+        for number in range(1, targets + 1):
+            target = f"{name}-{number}"
+            state = states.get(target, "active")
+            text += f"      {target}: {{weight: 1, slots: 3, state: {state}}}\n"
+    return text
+
+
+def make_layout(work: str = "/bookings=20ms,/rides=20ms,/photos=1s", **host_flags):
+    """Return the layout of Arequipa."""
+    return Layout(
+        zones=ZONES,
+        entry_hosts=7,
+        services_by_name={
+            "reservas": ServiceLayout(RESERVAS_TARGETS, work),
+            "devoluciones": ServiceLayout(DEVOLUCIONES_TARGETS, work),
+        },
+        document=make_document(1),
+        host_flags=host_flags,
+    )
--- /dev/null
+++ b/hornbeamdeal/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon of one entry host."""
--- /dev/null
+++ b/hornbeamdeal/daemon/_admin.py
@@ -0,0 +1,89 @@
+"""HTTP endpoint for operators: metrics, health, readiness, status, explain."""
+
+import json
+from typing import Any
+
+from hornbeamdeal.kernel import AddressKind
+from hornbeamdeal.settings import parse_endpoint
+from hornbeamdeal.steering import flow_key
+from hornbeamdeal.wire import HttpRequest, HttpResponse
+
+from ._driver import EntryDriver
+
+TEXT = {"Content-Type": "text/plain; charset=utf-8"}
+JSON = {"Content-Type": "application/json"}
+
+
+class AdminPages:
+    """Answers operators' reads; nothing can be changed here."""
+
+    __slots__ = ("driver",)
+
+    def __init__(self, *, driver: EntryDriver):
+        self.driver = driver
+
+    async def respond(self, request: HttpRequest) -> HttpResponse:
+        """Answer one request."""
+        match request.path:
+            case "/metrics":
+                return HttpResponse(200, self.driver.metrics.render(), TEXT)
+            case "/healthz":
+                return HttpResponse(200, b"ok\n", TEXT)
+            case "/readyz":
+                return self._readiness()
+            case "/status":
+                return _json(200, self.status())
+            case "/explain":
+                return self._explain(request.query)
+        pages = b"pages: /metrics /healthz /readyz /status /explain\n"
+        return HttpResponse(404, pages, TEXT)
+
+    def status(self) -> dict[str, Any]:
+        """Return what `hornbeamdeal-ctl status` shows."""
+        driver = self.driver
+        version = driver.world.version_
+        members = driver.components.membership.members_
+        return {
+            "host_id": driver.settings.host_id,
+            "zone": driver.settings.zone,
+            "version_number": version.number if version else 0,
+            "version_digest": version.digest.hex() if version else "",
+            "in_force_since": driver.world.in_force_since_,
+            "ready": self.is_ready(),
+            "stopping": driver.is_stopping_,
+            "members": {name: host.state.value for name, host in members.items()},
+        }
+
+    def is_ready(self) -> bool:
+        """Tell whether this host can serve callers."""
+        driver = self.driver
+        is_complete = (
+            driver.world.is_complete_ and driver.components.dissemination.ready_
+        )
+        return is_complete and not driver.is_stopping_
+
+    def _readiness(self) -> HttpResponse:
+        if self.is_ready():
+            return HttpResponse(200, b"ready\n", TEXT)
+        return HttpResponse(503, b"not ready\n", TEXT)
+
+    def _explain(self, query: dict[str, str]) -> HttpResponse:
+        try:
+            endpoint = parse_endpoint(query["address"])
+            caller = parse_endpoint(query["caller"])
+        except (KeyError, ValueError) as error:
+            problem = f"give address and caller as ip:port ({error})"
+            return _json(400, {"error": problem})
+        address = self.driver.world.address_of(endpoint)
+        if address is None:
+            problem = f"{endpoint} is no address of the document in force"
+            return _json(404, {"error": problem})
+        reason = "requests are admitted by load; any active server may get one"
+        if address.kind is AddressKind.FLOWS:
+            key = flow_key(caller, endpoint)
+            reason = self.driver.components.steering.explain(key, address.service)
+        return _json(200, {"service": address.service, "explanation": reason})
+
+
+def _json(status: int, content: dict[str, Any]) -> HttpResponse:
+    return HttpResponse(status, json.dumps(content).encode() + b"\n", JSON)
--- /dev/null
+++ b/hornbeamdeal/load/_caller.py
@@ -0,0 +1,188 @@
+"""Callers of the load tool: CoAP requests and watched flows over UDP."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import trio
+
+from hornbeamdeal.kernel import Endpoint
+from hornbeamdeal.wire import (
+    CallerMessage,
+    decode_for_caller,
+    encode_caller_request,
+    encode_registration,
+)
+
+RECEIVE_BYTES = 65507
+# Transmission parameters of RFC 7252, section 4.8.
+ACK_TIMEOUT_SECONDS = 2.0
+ACK_RANDOM_FACTOR = 1.5
+MAXIMUM_RETRANSMISSIONS = 4
+MESSAGE_IDS = 1 << 16
+TOKEN_BYTES = 6
+
+
+@dataclass(frozen=True, slots=True)
+class RequestResult:
+    """How one try of a request ended. Times are in seconds."""
+
+    code: str
+    payload: bytes
+    seconds: float
+    retry_after: int | None = None
+
+
+class Caller:
+    """One caller with its own UDP socket.
+
+    Parameters
+    ----------
+    address : Endpoint
+        Service address.
+    random_state : int
+        Seed of tokens and retransmission times.
+    """
+
+    __slots__ = ("address", "random_", "socket_", "message_id_", "channels_by_token_")
+
+    def __init__(self, *, address: Endpoint, random_state: int):
+        self.address = address
+        self.random_ = random.Random(random_state)
+        self.message_id_ = self.random_.randrange(MESSAGE_IDS)
+        self.channels_by_token_: dict[bytes, trio.MemorySendChannel] = {}
+
+    async def open(self) -> None:
+        """Open the socket."""
+        self.socket_ = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM)
+        await self.socket_.bind(("127.0.0.1", 0))
+
+    async def run(self) -> None:
+        """Hand received messages to their requests until cancelled."""
+        while True:
+            data, _ = await self.socket_.recvfrom(RECEIVE_BYTES)
+            decoded = decode_for_caller(data)
+            if decoded.is_err() or decoded.ok_value.is_acknowledgement:
+                continue
+            channel = self.channels_by_token_.get(decoded.ok_value.token)
+            if channel is not None:
+                try:
+                    channel.send_nowait(decoded.ok_value)
+                except trio.WouldBlock:
+                    continue
+
+    async def submit(
+        self, method: str, path: str, payload: bytes, timeout: float
+    ) -> RequestResult:
+        """Submit a request once, with a run token where one is asked for."""
+        started_at = trio.current_time()
+        run_token = None
+        with trio.move_on_after(timeout):
+            message = await self._exchange(method, path, payload, None)
+            if message.code == "UNAUTHORIZED" and message.echo:
+                run_token = message.echo
+                message = await self._exchange(method, path, payload, run_token)
+            seconds = trio.current_time() - started_at
+            return RequestResult(
+                message.code, message.payload, seconds, message.retry_after
+            )
+        return RequestResult("NO_ANSWER", b"", trio.current_time() - started_at)
+
+    async def _exchange(self, method, path, payload, run_token) -> CallerMessage:
+        token = self.random_.randbytes(TOKEN_BYTES)
+        data = encode_caller_request(
+            method, path, token, self._next_message_id(), payload, run_token
+        )
+        send_channel, receive_channel = trio.open_memory_channel(8)
+        self.channels_by_token_[token] = send_channel
+        timeout = ACK_TIMEOUT_SECONDS * self.random_.uniform(1, ACK_RANDOM_FACTOR)
+        try:
+            for _ in range(MAXIMUM_RETRANSMISSIONS + 1):
+                await self._send(data)
+                with trio.move_on_after(timeout):
+                    return await receive_channel.receive()
+                timeout *= 2
+            return await receive_channel.receive()
+        finally:
+            del self.channels_by_token_[token]
+
+    async def _send(self, data: bytes) -> None:
+        await self.socket_.sendto(data, (self.address.ip, self.address.port))
+
+    def _next_message_id(self) -> int:
+        self.message_id_ = (self.message_id_ + 1) % MESSAGE_IDS
+        return self.message_id_
+
+
+@dataclass(slots=True)
+class FlowRecord:
+    """What a watching caller saw of its flow."""
+
+    server: str = ""
+    notifications: int = 0
+    handle: bytes | None = None
+    is_broken: bool = False
+    is_closed: bool = False
+    servers: set[str] = field(default_factory=set)
+
+
+class Watcher(Caller):
+    """A caller that watches a resource and refreshes its registration.
+
+    `read_server` returns the server's name from a notification. A flow is
+    broken when another server answers it after its first notification.
+    """
+
+    __slots__ = ("path", "refresh_seconds", "read_server", "record_")
+
+    def __init__(
+        self,
+        *,
+        address: Endpoint,
+        random_state: int,
+        path: str,
+        refresh_seconds: float,
+        read_server: Callable[[bytes], str],
+    ):
+        super().__init__(address=address, random_state=random_state)
+        self.path = path
+        self.refresh_seconds = refresh_seconds
+        self.read_server = read_server
+        self.record_ = FlowRecord()
+
+    async def watch(self) -> None:
+        """Register, then refresh until cancelled."""
+        token = self.random_.randbytes(TOKEN_BYTES)
+        send_channel, receive_channel = trio.open_memory_channel(64)
+        self.channels_by_token_[token] = send_channel
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._take_notifications, receive_channel)
+            while True:
+                await self._register(token)
+                jitter = self.random_.uniform(0.8, 1.2)
+                await trio.sleep(self._interval() * jitter)
+
+    def _interval(self) -> float:
+        # An unanswered registration is repeated sooner than a refresh is due.
+        if self.record_.notifications == 0:
+            return min(ACK_TIMEOUT_SECONDS, self.refresh_seconds)
+        return self.refresh_seconds
+
+    async def _register(self, token: bytes) -> None:
+        message_id = self._next_message_id()
+        handle = self.record_.handle
+        await self._send(encode_registration(token, message_id, self.path, handle))
+
+    async def _take_notifications(self, channel) -> None:
+        async for message in channel:
+            record = self.record_
+            if message.code != "CONTENT":
+                record.is_broken = True
+                continue
+            record.notifications += 1
+            record.handle = message.echo or record.handle
+            server = self.read_server(message.payload)
+            record.servers.add(server)
+            if record.server and server != record.server:
+                record.is_broken = True
+            record.server = server
--- /dev/null
+++ b/hornbeamdeal/load/main.py
@@ -0,0 +1,82 @@
+"""Command line of the load tool."""
+
+import json
+
+import fire
+import trio
+
+from hornbeamdeal.settings import parse_duration, parse_endpoint
+
+from ._profiles import FlowProfile, LoadRun, RequestProfile
+
+
+class LoadCommands:
+    """Drives a running set of entry hosts and reports the users' measures."""
+
+    def requests(
+        self,
+        address,
+        path="/bookings",
+        method="POST",
+        rates="100",
+        step="5s",
+        timeout="10s",
+        random_state=0,
+        json=False,
+    ):
+        """Offer requests in steps of RATES (a second, separated by commas)."""
+        steps = rates if isinstance(rates, tuple | list) else str(rates).split(",")
+        profile = RequestProfile(
+            method,
+            path,
+            tuple(float(rate) for rate in steps),
+            parse_duration(step).total_seconds(),
+            parse_duration(timeout).total_seconds(),
+        )
+        load = LoadRun(random_state=random_state)
+        trio.run(load.run_requests, parse_endpoint(address), profile)
+        print(render(load.summary(), json))
+
+    def flows(
+        self,
+        address,
+        path="/map",
+        flows=200,
+        refresh="5s",
+        duration="20s",
+        random_state=0,
+        json=False,
+    ):
+        """Keep FLOWS watched flows open for DURATION and count broken ones."""
+        profile = FlowProfile(path, int(flows), parse_duration(refresh).total_seconds())
+        load = LoadRun(random_state=random_state)
+        seconds = parse_duration(duration).total_seconds()
+
+        async def run() -> None:
+            with trio.move_on_after(seconds):
+                await load.run_flows(parse_endpoint(address), profile)
+
+        trio.run(run)
+        print(render(load.summary(), json))
+
+
+def render(summary: dict, as_json: bool) -> str:
+    """Render a summary as JSON or as text."""
+    if as_json:
+        return json.dumps(summary, indent=2)
+    lines = []
+    for phase in summary["requests"]:
+        lines.append(f"{phase['phase']}: offered {phase['offered']}")
+        for code, count in sorted(phase["codes"].items()):
+            latency = phase["latency_ms"].get(code, {})
+            figures = "  ".join(f"{name} {value} ms" for name, value in latency.items())
+            lines.append(f"  {code:<20} {count:>6}  {figures}")
+    flows = summary["flows"]
+    if flows["flows"]:
+        lines += [f"flows {name}: {value}" for name, value in flows.items()]
+    return "\n".join(lines)
+
+
+def main():
+    """Start the command line."""
+    fire.Fire(LoadCommands)
--- /dev/null
+++ b/hornbeamdeal/observability/_metrics.py
@@ -0,0 +1,55 @@
+"""Metrics by prometheus_client."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
+
+from hornbeamdeal.kernel import Count
+
+LABELS = ("service", "reason")
+
+
+class Metrics:
+    """Counters and gauges of one process.
+
+    A counter is made when it is first counted, so that each component names
+    its own; every counter has the labels `service` and `reason`.
+    """
+
+    __slots__ = ("registry_", "counters_by_name_", "gauges_by_name_")
+
+    def __init__(self):
+        self.registry_ = CollectorRegistry()
+        self.counters_by_name_: dict[str, Counter] = {}
+        self.gauges_by_name_: dict[str, Gauge] = {}
+
+    def count(self, action: Count) -> None:
+        """Add to a counter."""
+        counter = self.counters_by_name_.get(action.name)
+        if counter is None:
+            counter = self._make_counter(action.name)
+        counter.labels(action.service, action.reason).inc(action.amount)
+
+    def set_gauge(self, name: str, value: float) -> None:
+        """Set a gauge."""
+        gauge = self.gauges_by_name_.get(name)
+        if gauge is None:
+            text = name.replace("_", " ")
+            gauge = Gauge(f"hornbeamdeal_{name}", text, registry=self.registry_)
+            self.gauges_by_name_[name] = gauge
+        gauge.set(value)
+
+    def value(self, name: str, service: str = "", reason: str = "") -> float:
+        """Return the value of a counter, 0 where it was never counted."""
+        counter = self.counters_by_name_.get(name)
+        if counter is None:
+            return 0.0
+        return counter.labels(service, reason)._value.get()
+
+    def render(self) -> bytes:
+        """Render all metrics in the Prometheus text format."""
+        return generate_latest(self.registry_)
+
+    def _make_counter(self, name: str) -> Counter:
+        text = name.replace("_", " ") + " by service and reason"
+        counter = Counter(f"hornbeamdeal_{name}", text, LABELS, registry=self.registry_)
+        self.counters_by_name_[name] = counter
+        return counter
--- /dev/null
+++ b/hornbeamdeal/settings/_parsing.py
@@ -0,0 +1,53 @@
+"""Parsers of single settings; each raises ValueError with what is allowed."""
+
+import re
+from datetime import timedelta
+from ipaddress import ip_address
+
+from hornbeamdeal.kernel import Endpoint
+
+_DURATION = re.compile(r"^(\d+(?:\.\d+)?)(ms|s|m)$")
+_SECONDS_BY_UNIT = {"ms": 0.001, "s": 1.0, "m": 60.0}
+MAXIMUM_PORT = 65535
+
+
+def parse_endpoint(text: str) -> Endpoint:
+    """Parse `ip:port`; IPv6 addresses stand in brackets."""
+    ip, separator, port = text.strip().rpartition(":")
+    if not separator or not port.isdigit() or int(port) > MAXIMUM_PORT:
+        raise ValueError("an IP number and a port, as in 10.0.0.1:5683")
+    try:
+        return Endpoint(str(ip_address(ip.strip("[]"))), int(port))
+    except ValueError:
+        raise ValueError("an IP number, not a host name, before the port") from None
+
+
+def parse_endpoints(text: str) -> tuple[Endpoint, ...]:
+    """Parse endpoints separated by commas; an empty text gives none."""
+    return tuple(parse_endpoint(part) for part in text.split(",") if part.strip())
+
+
+def parse_duration(text: str) -> timedelta:
+    """Parse a duration such as `250ms`, `15s` or `2m`."""
+    match = _DURATION.match(text.strip())
+    if not match:
+        raise ValueError("a number with the unit ms, s or m, as in 250ms or 15s")
+    return timedelta(seconds=float(match[1]) * _SECONDS_BY_UNIT[match[2]])
+
+
+def parse_keys(text: str) -> dict[int, bytes]:
+    """Parse `id:hex` pairs separated by commas into keys by identifier."""
+    keys_by_id = {}
+    for part in text.split(","):
+        key_id, _, digits = part.strip().partition(":")
+        if not key_id.isdigit() or int(key_id) > 255 or len(digits) < 32:
+            raise ValueError("id:hex pairs, id 0 to 255, at least 32 hex digits each")
+        keys_by_id[int(key_id)] = bytes.fromhex(digits)
+    return keys_by_id
+
+
+def parse_name(text: str) -> str:
+    """Parse a name of letters, digits, dots and dashes."""
+    if not re.fullmatch(r"[A-Za-z0-9][A-Za-z0-9.-]{0,62}", text):
+        raise ValueError("letters, digits, dots and dashes, at most 63")
+    return text
--- /dev/null
+++ b/hornbeamdeal/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the fabric, backend servers and the platform."""
--- /dev/null
+++ b/hornbeamdeal/standins/platform.py
@@ -0,0 +1,105 @@
+"""Stand-in of the platform: a configuration service that is read and watched.
+
+It serves the files of a folder, so that a test publishes by writing files.
+"""
+
+from pathlib import Path
+
+import fire
+import trio
+
+from hornbeamdeal.kernel import Endpoint
+from hornbeamdeal.settings import parse_endpoint
+from hornbeamdeal.wire import HttpRequest, HttpResponse, serve_http
+
+from ._control import serve_control
+
+POLL_SECONDS = 0.05
+WATCH_SECONDS = 30.0
+MAXIMUM_VALUE_BYTES = 1_000_000
+
+
+class Platform:
+    """Serves values by key, counts calls, and can be down, slow or stale.
+
+    A value's revision is the modification time of its file in nanoseconds.
+    """
+
+    __slots__ = ("folder", "down", "delay", "frozen_", "calls_", "watches_")
+
+    def __init__(self, *, folder: Path):
+        self.folder = folder
+        self.down = False
+        self.delay = 0.0
+        self.frozen_: dict[str, tuple[bytes, int]] | None = None
+        self.calls_ = 0
+        self.watches_ = 0
+
+    def configure(self, message: dict) -> dict:
+        """Take a control message: down, delay, stale."""
+        self.down = bool(message.get("down", self.down))
+        self.delay = float(message.get("delay", self.delay))
+        if "stale" in message:
+            self.frozen_ = self._snapshot() if message["stale"] else None
+        return {"calls": self.calls_, "watches": self.watches_}
+
+    async def respond(self, request: HttpRequest) -> HttpResponse | None:
+        """Answer a read or a watch; None closes the connection."""
+        self.calls_ += 1
+        await trio.sleep(self.delay)
+        if self.down:
+            return None
+        key = request.path.removeprefix("/v1/")
+        after = request.query.get("after")
+        value = self._read(key)
+        if after is not None:
+            self.watches_ += 1
+            value = await self._watch(key, int(after))
+            if value is None:
+                return HttpResponse(304, b"", {})
+        if self.down:
+            return None
+        if value is None:
+            return HttpResponse(404, b"", {})
+        content, revision = value
+        return HttpResponse(200, content, {"X-Revision": str(revision)})
+
+    async def _watch(self, key: str, after: int) -> tuple[bytes, int] | None:
+        with trio.move_on_after(WATCH_SECONDS):
+            while not self.down:
+                value = self._read(key)
+                if value is not None and value[1] > after:
+                    return value
+                await trio.sleep(POLL_SECONDS)
+        return None
+
+    def _read(self, key: str) -> tuple[bytes, int] | None:
+        if self.frozen_ is not None:
+            return self.frozen_.get(key)
+        path = self.folder / key
+        if ".." in key or not path.is_file():
+            return None
+        return path.read_bytes(), path.stat().st_mtime_ns
+
+    def _snapshot(self) -> dict[str, tuple[bytes, int]]:
+        paths = [path for path in self.folder.rglob("*") if path.is_file()]
+        keys = [str(path.relative_to(self.folder)) for path in paths]
+        return {key: self._read(key) for key in keys}
+
+
+async def serve(listen: Endpoint, control: Endpoint, folder: Path) -> None:
+    """Serve until cancelled."""
+    platform = Platform(folder=folder)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(serve_control, control, platform.configure)
+        nursery.start_soon(serve_http, listen, platform.respond)
+
+
+def run(listen, control, folder):
+    """Serve the files of FOLDER as keys over HTTP on LISTEN (ip:port)."""
+    trio.run(serve, parse_endpoint(listen), parse_endpoint(control), Path(folder))
+
+
+def main():
+    """Start the command line."""
+    fire.Fire(run)
