--- a/hornbeamdeal/daemon/_driver.py
+++ b/hornbeamdeal/daemon/_driver.py
@@ -444,7 +444,7 @@
         self.feed(event, (self.components.dissemination,))
 
     def _put_in_force(self, action: PutInForce) -> None:
-        errors = self.world.put_in_force(action.version, action.content)
+        errors = self.world.put_in_force(action.content)
         if errors:
             self.metrics.count(Count("documents_rejected"))
             self.log(
--- /dev/null
+++ b/hornbeamdeal/daemon/main.py
@@ -0,0 +1,49 @@
+"""Command line of the entry host's daemon."""
+
+import os
+import signal
+import sys
+
+import fire
+import trio
+from result import Err
+
+from hornbeamdeal.settings import load_entry_settings
+from hornbeamdeal.wire import serve_http
+
+from ._admin import AdminPages
+from ._assembly import make_driver
+
+EXIT_USAGE = 2
+# Work in flight gets this long at a planned stop: the longest deadline of a
+# work class plus a margin.
+STOP_PATIENCE_SECONDS = 70.0
+
+
+async def serve(driver) -> None:
+    """Serve until a planned stop has finished."""
+    pages = AdminPages(driver=driver)
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async with trio.open_nursery() as nursery:
+            await nursery.start(driver.run)
+            nursery.start_soon(serve_http, driver.settings.admin_listen, pages.respond)
+            driver.log("started", zone=driver.settings.zone)
+            async for _ in signals:
+                await driver.stop(STOP_PATIENCE_SECONDS)
+                nursery.cancel_scope.cancel()
+                break
+
+
+def run(**flags):
+    """Run an entry host. Each setting is a flag or a HORNBEAMDEAL_ variable."""
+    loaded = load_entry_settings(flags, os.environ)
+    if isinstance(loaded, Err):
+        for error in loaded.err_value:
+            print(f"hornbeamdeal-entry: {error}", file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+    trio.run(serve, make_driver(loaded.ok_value))
+
+
+def main():
+    """Start the command line."""
+    fire.Fire(run)
