Add parsing, segments, order, views and differences of documents

Cause: every host needs the same reading of a document within the 3 s bound, and operators need each fault with its line and remedy. Change: subpackage document. Cuts depend on service names alone; segments are parsed separately and kept by digest; valid target settings are remembered, so that jsonschema sees each distinct one once.

--- /dev/null
+++ b/hornbeamdeal/document/_faults.py
@@ -0,0 +1,35 @@
+"""Faults in documents, host lists and manifests."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class FaultKind(Enum):
+    """What is wrong with a piece of input."""
+
+    ENCODING = "encoding"
+    SYNTAX = "syntax"
+    LAYOUT = "layout"
+    DUPLICATE_KEY = "duplicate_key"
+    REFERENCE = "reference"
+    UNKNOWN_KEY = "unknown_key"
+    MISSING_KEY = "missing_key"
+    VALUE = "value"
+    NAME = "name"
+    DUPLICATE_NAME = "duplicate_name"
+    RULE = "rule"
+    SIZE = "size"
+    DIGEST = "digest"
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """One fault: its line (from 1), what is wrong, and the remedy."""
+
+    line: int
+    kind: FaultKind
+    message: str
+    remedy: str
+
+    def __str__(self) -> str:
+        return f"line {self.line}: {self.message}; {self.remedy}"
--- /dev/null
+++ b/hornbeamdeal/document/_parser.py
@@ -0,0 +1,187 @@
+"""Parsing of documents, segment by segment."""
+
+import re
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
+from typing import Any
+
+import yaml
+from result import Err, Ok, Result
+
+from hornbeamdeal.kernel import Version
+
+from ._check import SchemaChecker
+from ._document import Document, ServiceSpec
+from ._faults import Fault, FaultKind
+from ._nodes import PlainReader, compose
+from ._schema import HEAD
+from ._segments import Segment, cut, digest_of, manifest_of, services_start, size_faults
+from ._service import build_service, check_service
+
+# The target size (15,000 targets) takes about 1 MB; the rest is headroom within
+# the 64 MB that a host may use for control.
+MAX_DOCUMENT_BYTES = 8_000_000
+_TOP_LEVEL_LINE = re.compile(rb"^[^\s#]", re.MULTILINE)
+# Editors add it unseen; the line 'version:' would then not start its line.
+_BYTE_ORDER_MARK = b"\xef\xbb\xbf"
+
+
+@dataclass(frozen=True, slots=True)
+class ParsedSegment:
+    """What one segment says. Lines count within the segment."""
+
+    services: tuple[ServiceSpec, ...] = ()
+    faults: tuple[Fault, ...] = ()
+    version_number: int = 0
+
+
+class DocumentParser:
+    """Parses documents; segments equal to those of the last one are not re-read."""
+
+    __slots__ = ("_checker", "parsed_by_digest_", "segments_read_")
+
+    def __init__(self):
+        self._checker = SchemaChecker()
+        self.parsed_by_digest_: dict[bytes, ParsedSegment] = {}
+        self.segments_read_ = 0
+
+    def parse(self, content: bytes) -> Result[Document, list[Fault]]:
+        """Return the document, or all its faults in order of their lines."""
+        fault = _whole_fault(content)
+        if fault is not None:
+            return Err([fault])
+        segments = cut(content)
+        parsed = [self._parse_segment(i == 0, s) for i, s in enumerate(segments)]
+        version = Version(parsed[0].version_number, digest_of(content))
+        faults = [
+            *_layout_faults(content),
+            *size_faults(manifest_of(version, segments), segments),
+            *_faults_in_document(segments, parsed),
+            *_name_faults(segments, parsed),
+        ]
+        if faults:
+            return Err(sorted(faults, key=lambda fault: fault.line))
+        self.parsed_by_digest_ = {
+            s.digest: p for s, p in zip(segments, parsed, strict=True)
+        }
+        services = (service for p in parsed for service in p.services)
+        return Ok(Document(version, {s.name: s for s in services}))
+
+    def _parse_segment(self, is_head: bool, segment: Segment) -> ParsedSegment:
+        known = self.parsed_by_digest_.get(segment.digest)
+        if known is not None:
+            return known
+        self.segments_read_ += 1
+        composed = compose(segment.content.decode())
+        if composed.is_err():
+            return ParsedSegment(faults=(composed.err_value,))
+        root = composed.ok_value
+        if not isinstance(root, yaml.MappingNode):
+            return ParsedSegment(faults=(_not_a_mapping(),))
+        if is_head:
+            return self._parse_head(root)
+        return self._parse_services(root)
+
+    def _parse_head(self, root: yaml.MappingNode) -> ParsedSegment:
+        reader = PlainReader()
+        head = reader.read(root)
+        faults = (*reader.faults, *self._checker.check(HEAD, head, [], root))
+        return ParsedSegment(
+            faults=faults, version_number=0 if faults else head["version"]
+        )
+
+    def _parse_services(self, root: yaml.MappingNode) -> ParsedSegment:
+        reader = PlainReader()
+        values = reader.read(root)
+        faults = list(reader.faults)
+        services = []
+        for name, key_node, node in _first_of_each_key(root, values):
+            found = check_service(self._checker, name, values[name], root)
+            faults += found
+            if not found:
+                services.append(build_service(key_node, node, values[name]))
+        return ParsedSegment(services=tuple(services), faults=tuple(faults))
+
+
+def _first_of_each_key(root: yaml.MappingNode, values: dict[str, Any]):
+    remaining = set(values)
+    for key_node, node in root.value:
+        if key_node.value in remaining:
+            remaining.remove(key_node.value)
+            yield key_node.value, key_node, node
+
+
+def _not_a_mapping() -> Fault:
+    message = "this is not a mapping"
+    remedy = "start the document with 'version:' and 'services:'"
+    return Fault(1, FaultKind.SYNTAX, message, remedy)
+
+
+def _whole_fault(content: bytes) -> Fault | None:
+    if len(content) > MAX_DOCUMENT_BYTES:
+        message = f"the document has {len(content)} bytes, above {MAX_DOCUMENT_BYTES}"
+        return Fault(1, FaultKind.SIZE, message, "divide it over environments")
+    if content.startswith(_BYTE_ORDER_MARK):
+        message = "the document starts with a byte order mark"
+        return Fault(1, FaultKind.ENCODING, message, "save it as UTF-8 without one")
+    try:
+        content.decode()
+    except UnicodeDecodeError as error:
+        line = content.count(b"\n", 0, error.start) + 1
+        message = f"byte 0x{content[error.start]:02x} is not UTF-8"
+        return Fault(line, FaultKind.ENCODING, message, "save the document as UTF-8")
+    return None
+
+
+def _layout_faults(content: bytes) -> Iterator[Fault]:
+    start = services_start(content)
+    if start is None:
+        return
+    for match in _TOP_LEVEL_LINE.finditer(content, start):
+        line = content.count(b"\n", 0, match.start()) + 1
+        message = "there is a top-level line below the services"
+        remedy = "move it above 'services:', or indent it if it is a service"
+        yield Fault(line, FaultKind.LAYOUT, message, remedy)
+
+
+def _faults_in_document(
+    segments: list[Segment], parsed: list[ParsedSegment]
+) -> Iterator[Fault]:
+    for segment, part in zip(segments, parsed, strict=True):
+        offset = segment.first_line - 1
+        for fault in part.faults:
+            yield replace(fault, line=fault.line + offset)
+    if len(segments) == 1 and not parsed[0].faults:
+        remedy = "add at least one service below 'services:'"
+        yield Fault(1, FaultKind.MISSING_KEY, "the document has no services", remedy)
+
+
+def _name_faults(
+    segments: list[Segment], parsed: list[ParsedSegment]
+) -> Iterator[Fault]:
+    """Names are global: the host list maps each to one endpoint."""
+    lines_by_name: dict[tuple[str, str], int] = {}
+    for what, name, line in _names(segments, parsed):
+        first = lines_by_name.setdefault((what, name), line)
+        if first != line:
+            message = f"{what} {name!r} is already named on line {first}"
+            remedy = f"use each {what} name once in the document"
+            yield Fault(line, FaultKind.DUPLICATE_NAME, message, remedy)
+
+
+def _names(
+    segments: list[Segment], parsed: list[ParsedSegment]
+) -> Iterator[tuple[str, str, int]]:
+    for segment, part in zip(segments, parsed, strict=True):
+        offset = segment.first_line - 1
+        for service in part.services:
+            yield "service", service.name, offset + service.line
+            for address in service.addresses:
+                yield "address", address.name, offset + address.line
+            for target in service.targets:
+                yield "target", target.name, offset + target.line
+
+
+def parse_document(content: bytes) -> Result[Document, list[Fault]]:
+    """Parse one document; use DocumentParser for a series of them."""
+    return DocumentParser().parse(content)
