Limit the nesting of documents before they are composed

Cause: a document of 200,000 opening brackets ended the process with a segmentation fault in the recursive C loader; a one-service document raised in cut(); tags such as !!python/object were let through to the value checks. Ruled out: counting brackets in the text (quotes and comments hide closing ones) and RecursionError (the C loader does not raise it). Change: a pass over the events stops at 16 levels; cut() pairs positions; only the core tags are allowed. Conclusion: a published document cannot end the process this way.

--- a/hornbeamdeal/document/_faults.py
+++ b/hornbeamdeal/document/_faults.py
@@ -20,6 +20,7 @@
     RULE = "rule"
     SIZE = "size"
     DIGEST = "digest"
+    FILE = "file"
 
 
 @dataclass(frozen=True, slots=True)
--- a/hornbeamdeal/document/_nodes.py
+++ b/hornbeamdeal/document/_nodes.py
@@ -15,6 +15,21 @@
 _DECIMAL = re.compile(r"-?(?:0|[1-9][0-9]*)\.[0-9]+")
 _BOOLEANS_BY_TEXT = {"true": True, "false": False}
 _CORE_TAG = "tag:yaml.org,2002:"
+_CORE_TYPES = [
+    "str",
+    "null",
+    "bool",
+    "int",
+    "float",
+    "timestamp",
+    "merge",
+    "value",
+    "map",
+    "seq",
+]
+_ALLOWED_TAGS = frozenset(_CORE_TAG + name for name in _CORE_TYPES)
+# The document format has 5 levels.
+MAX_DEPTH = 16
 # Integers of more digits are of no use, and int() is quadratic in their number.
 _MAX_DIGITS = 19
 
@@ -22,6 +37,9 @@
 def compose(text: str) -> Result[yaml.Node | None, Fault]:
     """Read YAML text into nodes."""
     try:
+        deep_line = _find_deep_line(text)
+        if deep_line is not None:
+            return Err(_syntax_fault(deep_line, "too many nested levels"))
         return Ok(yaml.compose(text, Loader=yaml.CSafeLoader))
     except yaml.MarkedYAMLError as error:
         mark = error.problem_mark or error.context_mark
@@ -30,8 +48,23 @@
     except yaml.reader.ReaderError as error:
         line = text.count("\n", 0, error.position or 0) + 1
         return Err(_syntax_fault(line, f"unreadable character, {error.reason}"))
-    except RecursionError:
-        return Err(_syntax_fault(1, "too many nested levels"))
+
+
+def _find_deep_line(text: str) -> int | None:
+    """Return the first line that is nested too deeply.
+
+    The C loader composes recursively and overflows the stack of the process on
+    a document of 200,000 opening brackets; reading events does not recurse.
+    """
+    depth = 0
+    for event in yaml.parse(text, Loader=yaml.CSafeLoader):
+        if isinstance(event, yaml.CollectionStartEvent):
+            depth += 1
+            if depth > MAX_DEPTH:
+                return event.start_mark.line + 1
+        elif isinstance(event, yaml.CollectionEndEvent):
+            depth -= 1
+    return None
 
 
 def _syntax_fault(line: int, problem: str) -> Fault:
@@ -59,7 +92,7 @@
             self._report_alias(node)
             return None
         self._seen.add(id(node))
-        if not node.tag.startswith(_CORE_TAG):
+        if node.tag not in _ALLOWED_TAGS:
             self._report_tag(node)
         if isinstance(node, yaml.MappingNode):
             return self._read_mapping(node)
--- a/hornbeamdeal/document/_parser.py
+++ b/hornbeamdeal/document/_parser.py
@@ -77,7 +77,7 @@
             return ParsedSegment(faults=(composed.err_value,))
         root = composed.ok_value
         if not isinstance(root, yaml.MappingNode):
-            return ParsedSegment(faults=(_not_a_mapping(),))
+            return ParsedSegment(faults=(_not_a_mapping(is_head),))
         if is_head:
             return self._parse_head(root)
         return self._parse_services(root)
@@ -111,10 +111,10 @@
             yield key_node.value, key_node, node
 
 
-def _not_a_mapping() -> Fault:
-    message = "this is not a mapping"
-    remedy = "start the document with 'version:' and 'services:'"
-    return Fault(1, FaultKind.SYNTAX, message, remedy)
+def _not_a_mapping(is_head: bool) -> Fault:
+    head_remedy = "start the document with 'version:' and 'services:'"
+    remedy = head_remedy if is_head else "start the service with 'name:'"
+    return Fault(1, FaultKind.SYNTAX, "this is not a mapping", remedy)
 
 
 def _whole_fault(content: bytes) -> Fault | None:
--- a/hornbeamdeal/document/_segments.py
+++ b/hornbeamdeal/document/_segments.py
@@ -6,6 +6,7 @@
 import zlib
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
+from itertools import pairwise
 
 from result import Err, Ok, Result
 
@@ -81,8 +82,8 @@
     """
     segments = []
     line = 1
-    starts = [0, *_cut_positions(content)]
-    for start, end in zip(starts, [*starts[1:], len(content)], strict=True):
+    positions = [0, *_cut_positions(content), len(content)]
+    for start, end in pairwise(positions):
         piece = content[start:end]
         segments.append(Segment(digest_of(piece), piece, line))
         line += piece.count(b"\n")
@@ -91,13 +92,10 @@
 
 def _cut_positions(content: bytes) -> Iterator[int]:
     starts = service_starts(content)
-    if not starts:
-        return
-    segment_start = starts[0]
-    yield segment_start
-    for start, end in zip(starts[1:], [*starts[2:], len(content)], strict=True):
+    segment_start = 0
+    for start, end in pairwise([*starts, len(content)]):
         too_large = end - segment_start > MAX_VALUE_BYTES
-        if too_large or _is_boundary(content, start):
+        if start == starts[0] or too_large or _is_boundary(content, start):
             segment_start = start
             yield start
 
