Add the operators' command line

Cause: operators need to check, compare, publish and follow a document without access to the hosts. Ruled out: fire's parse decorators (they show up as commands in the help text) and reading hosts one after the other (each dead host costs a 2 s timeout). Commands only read from hosts.

--- /dev/null
+++ b/hornbeamdeal/ctl/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' command line; it only reads from hosts."""
