--- a/hornbeamdeal/kernel/_values.py
+++ b/hornbeamdeal/kernel/_values.py
@@ -178,6 +178,7 @@
 
     `idempotent` is what the method tells; a work class may say more.
     `datagram` is the received payload, kept for relaying unchanged.
+    `relayed_by` is the peer that relayed the request, if one did.
     """
 
     caller: Endpoint
@@ -192,6 +193,7 @@
     run_token: bytes | None = None
     datagram: bytes = b""
     hops: int = 0
+    relayed_by: Endpoint | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/hornbeamdeal/requests/_answers.py
@@ -0,0 +1,97 @@
+"""Builds the final answers of requests."""
+
+from random import Random
+from typing import Any
+
+from hornbeamdeal.kernel import (
+    Answer,
+    AnswerStatus,
+    Count,
+    Outcome,
+    ReplyToCaller,
+    Request,
+    ServerAnswer,
+)
+
+from ._base import Reason
+
+WRONG_SERVICE_CODE = "NOT_FOUND"
+WRONG_SERVICE_PAYLOAD = b"wrong service"
+RETRY_AFTER_SPREAD = 0.5
+
+_COUNTER_BY_STATUS = {
+    AnswerStatus.NOT_RUN: "requests_refused",
+    AnswerStatus.BAD_REQUEST: "requests_refused",
+    AnswerStatus.OUTCOME_UNKNOWN: "requests_unknown",
+    AnswerStatus.ERROR: "requests_failed",
+}
+
+
+def reply(request: Request, answer: Answer, service: str = "") -> list[Any]:
+    """Return the final answer of a request, counted where it is no success."""
+    actions: list[Any] = [ReplyToCaller(request, answer)]
+    counter = _COUNTER_BY_STATUS.get(answer.status)
+    if counter is not None:
+        reason = answer.reason.partition(":")[0]
+        actions.append(Count(counter, reason, service))
+    return actions
+
+
+def is_refusal(answer: ServerAnswer) -> bool:
+    """Tell whether a server rejected a request before it started."""
+    if answer.outcome is Outcome.REFUSED:
+        return True
+    return answer.code == WRONG_SERVICE_CODE and answer.payload == WRONG_SERVICE_PAYLOAD
+
+
+def answered(answer: ServerAnswer) -> Answer:
+    """Return a server's answer as the caller's."""
+    return Answer(AnswerStatus.OK, payload=answer.payload, code=answer.code)
+
+
+class AnswerMaker:
+    """Makes answers that carry a jittered time to come back.
+
+    Jitter keeps callers that were refused together from returning together.
+    """
+
+    __slots__ = ("random_", "retry_after")
+
+    def __init__(self, *, random: Random, retry_after: float):
+        self.random_ = random
+        self.retry_after = retry_after
+
+    def not_run(self, reason: str, retry_after: float | None = None) -> Answer:
+        """Return the answer of a request that no server started."""
+        seconds = self._jittered() if retry_after is None else retry_after
+        return Answer(AnswerStatus.NOT_RUN, reason=str(reason), retry_after=seconds)
+
+    def unknown(self, reason: str) -> Answer:
+        """Return the answer of a request that a server may have run."""
+        return Answer(
+            AnswerStatus.OUTCOME_UNKNOWN,
+            reason=str(reason),
+            retry_after=self._jittered(),
+        )
+
+    def bad_request(self, reason: str) -> Answer:
+        """Return the answer of a request that can never be run."""
+        return Answer(AnswerStatus.BAD_REQUEST, reason=str(reason))
+
+    def failed(self, answer: ServerAnswer) -> Answer:
+        """Return the answer of a request that a server did not complete.
+
+        A failure without a code was not sent by the server: its answer is lost.
+        """
+        if answer.outcome is Outcome.FAILED and answer.code:
+            return Answer(
+                AnswerStatus.ERROR,
+                payload=answer.payload,
+                reason=f"{Reason.SERVER_FAILED}: {answer.code}",
+                retry_after=self._jittered(),
+            )
+        return self.unknown(Reason.ANSWER_LOST)
+
+    def _jittered(self) -> float:
+        spread = self.random_.uniform(1 - RETRY_AFTER_SPREAD, 1 + RETRY_AFTER_SPREAD)
+        return self.retry_after * spread
--- /dev/null
+++ b/hornbeamdeal/requests/_base.py
@@ -0,0 +1,56 @@
+"""Limits and reasons of the request dispatcher."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class Reason(StrEnum):
+    """Why a request ended without a server's answer."""
+
+    UNKNOWN_ADDRESS = "unknown_address"
+    UNKNOWN_PATH = "unknown_path"
+    ADDRESS_HELD = "address_held"
+    STOPPING = "stopping"
+    HOST_FULL = "host_full"
+    TOKENS_FULL = "tokens_full"
+    TOKEN_MALFORMED = "token_malformed"
+    TOKEN_NOT_VALID = "token_not_valid"
+    TOKEN_EXPIRED = "token_expired"
+    TOKEN_INVALIDATED = "token_invalidated"
+    TOKEN_OF_OTHER_REQUEST = "token_of_other_request"
+    ANSWER_NOT_KEPT = "answer_not_kept"
+    ISSUER_GONE = "issuer_gone"
+    DEADLINE_PASSED = "deadline_passed"
+    SERVERS_REFUSED = "servers_refused"
+    SERVER_FAILED = "server_failed"
+    ANSWER_LOST = "answer_lost"
+    CANCELLED = "cancelled"
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """Bounds of a dispatcher; durations are in seconds.
+
+    The token lifetime is the time in which a caller repeats a request:
+    RFC 7252 retransmits a confirmable message for 45 s. A moved or retried
+    request visits at most three servers, which bounds the load that refusals
+    add during a surge. The relay grace covers the gossip delay of an issuer
+    that has just started.
+    """
+
+    maximum_exchanges: int = 20_000
+    maximum_tokens: int = 100_000
+    maximum_stored_bytes: int = 16 * 1024 * 1024
+    maximum_relays: int = 20_000
+    maximum_waiting: int = 4
+    token_lifetime: float = 60.0
+    answer_retention: float = 10.0
+    relay_grace: float = 1.0
+    hold_down: float = 5.0
+    maximum_moves: int = 2
+    maximum_retries: int = 2
+    retry_ratio: float = 0.1
+    retry_floor_per_second: float = 1.0
+    retry_delay: float = 0.02
+    try_share: float = 0.4
+    retry_after: float = 1.0
--- /dev/null
+++ b/hornbeamdeal/requests/_baseline.py
@@ -0,0 +1,41 @@
+"""Baseline for comparison: duplicates are known from own memory alone."""
+
+from typing import Any
+
+import xxhash
+
+from hornbeamdeal.kernel import Answer, Request, register
+
+from ._answers import reply
+from ._dispatcher import RequestDispatcher
+from ._routing import Route
+from ._token import RunToken
+
+COUNTER_MASK = 2**48 - 1
+
+
+@register("requests", "own_memory")
+class OwnMemoryDispatcher(RequestDispatcher):
+    """Runs non-idempotent requests without run tokens.
+
+    A duplicate is recognised by caller, address and message identifier on the
+    host that ran the request before. Another host, or the same one after a
+    restart, runs it again.
+    """
+
+    def _ask_for_token(self, request: Request, route: Route, now: float) -> list[Any]:
+        record = self.desk_.claim(
+            self._own_token(request, now), request, self._refusal(), now
+        )
+        if isinstance(record, Answer):
+            return reply(request, record, route.service)
+        if record.exchange is not None:
+            return self.runner_.join(record.exchange, request)
+        return self.runner_.start(request, route, record, now)
+
+    def _own_token(self, request: Request, now: float) -> RunToken:
+        """Return a token that stands for a caller's message on this host."""
+        key = f"{request.caller} {request.address} {request.message_id}"
+        counter = xxhash.xxh3_64_intdigest(key) & COUNTER_MASK
+        expiry = int(now + self.limits_.token_lifetime) + 1
+        return RunToken(self.incarnation, self.endpoint, counter, expiry)
--- /dev/null
+++ b/hornbeamdeal/requests/_dispatcher.py
@@ -0,0 +1,242 @@
+"""Dispatches requests so that non-idempotent ones run at most once."""
+
+from random import Random
+from typing import Any
+
+from hornbeamdeal.kernel import (
+    Answer,
+    Between,
+    CancelReceived,
+    LogEvent,
+    PauseDetected,
+    PeerReceived,
+    Request,
+    RequestReceived,
+    ServerAnswered,
+    StopRequested,
+    View,
+    register,
+    validate_parameters,
+)
+from hornbeamdeal.wire import peer_types
+
+from ._answers import AnswerMaker, reply
+from ._base import Limits, Reason
+from ._exchange import ExchangeTable
+from ._ledger import RunLedger
+from ._relay import RelayLog
+from ._relaying import Relayer
+from ._retries import RetryPolicy
+from ._routing import Route, Router
+from ._runner import ExchangeRunner
+from ._runs import RunDesk
+from ._token import KeyBytes, TokenSealer
+from ._tries import TryDriver
+
+_CONSTRAINTS = {
+    "incarnation": Between(-(2**63), 2**63 - 1),
+    "token_key": KeyBytes(),
+}
+
+
+@register("requests", "run_token")
+class RequestDispatcher:
+    """Decides what happens to every request of one entry host.
+
+    Parameters
+    ----------
+    admission : Admission
+        Says which request starts where, waits or is refused.
+    host_id : str
+        Identifier of this entry host.
+    incarnation : int
+        Number drawn at the start of this process; 64 bits, signed.
+    endpoint : Endpoint
+        Where peers send relayed requests; part of every run token.
+    token_key, previous_token_key : bytes
+        Keys of the run tokens, the same on all hosts of the region.
+    random_state : int
+        Seed of jitter.
+    limits : Limits
+        Bounds in memory and time.
+    """
+
+    def __init__(
+        self,
+        *,
+        admission,
+        host_id,
+        incarnation,
+        endpoint,
+        token_key,
+        previous_token_key=None,
+        random_state=0,
+        limits=None,
+    ):
+        self.admission = admission
+        self.host_id = host_id
+        self.incarnation = incarnation
+        self.endpoint = endpoint
+        self.token_key = token_key
+        self.previous_token_key = previous_token_key
+        self.random_state = random_state
+        self.limits = limits
+        self.now_ = None
+
+    @property
+    def idle_(self) -> bool:
+        """Tell whether nothing is queued or in flight."""
+        return self.now_ is None or len(self.runner_.table) == 0
+
+    def update(self, view: View, now: float) -> list[Any]:
+        """Take a new view; end relays whose issuer it calls dead."""
+        now = self._begin(now)
+        self.router_.update(view, now)
+        actions = self.tries_.apply(self.admission.update(view, now), now)
+        return actions + self.relayer_.update(view, now)
+
+    def handle(self, event: Any, now: float) -> list[Any]:
+        """Take one event; events of other components are ignored."""
+        now = self._begin(now)
+        match event:
+            case RequestReceived():
+                return self._take_request(event.request, now)
+            case ServerAnswered():
+                return self.runner_.take_answer(event, now)
+            case CancelReceived():
+                return self._cancel(event, now)
+            case PeerReceived():
+                return self._take_peer_message(event.message, now)
+            case PauseDetected():
+                return self._resume(event, now)
+            case StopRequested():
+                return self._stop(now)
+        return []
+
+    def tick(self, now: float) -> list[Any]:
+        """End what is overdue, retry what is due, forget what has expired."""
+        now = self._begin(now)
+        actions = self.runner_.wake(now)
+        actions += self.tries_.apply(self.admission.tick(now), now)
+        self.ledger_.expire(now)
+        return actions + self.relayer_.tick(now)
+
+    def _begin(self, now: float) -> float:
+        """Prepare on first use; return a time that never goes back.
+
+        A record is dropped when its token expires. A later call with an
+        earlier time would take the token as unused and unexpired.
+        """
+        if self.now_ is None:
+            self._prepare()
+            self.now_ = now
+        self.now_ = max(self.now_, now)
+        return self.now_
+
+    def _prepare(self) -> None:
+        validate_parameters(self, _CONSTRAINTS)
+        limits = self.limits or Limits()
+        random = Random(self.random_state)
+        self.limits_ = limits
+        self.answers_ = AnswerMaker(random=random, retry_after=limits.retry_after)
+        self.ledger_ = RunLedger(limits=limits)
+        self.router_ = Router(hold_down=limits.hold_down)
+        relay_log = RelayLog(grace=limits.relay_grace, maximum=limits.maximum_relays)
+        self.relayer_ = Relayer(answers=self.answers_, log=relay_log)
+        self.tries_ = TryDriver(
+            admission=self.admission,
+            answers=self.answers_,
+            ledger=self.ledger_,
+            retries=RetryPolicy(limits=limits, random=random),
+            table=ExchangeTable(incarnation=self.incarnation),
+        )
+        self.runner_ = ExchangeRunner(tries=self.tries_, limits=limits)
+        self.desk_ = RunDesk(
+            sealer=TokenSealer(
+                key=self.token_key, previous_key=self.previous_token_key
+            ),
+            ledger=self.ledger_,
+            answers=self.answers_,
+            limits=limits,
+            incarnation=self.incarnation,
+            endpoint=self.endpoint,
+        )
+
+    def _take_request(self, request: Request, now: float) -> list[Any]:
+        route = self.router_.find(request, now)
+        if isinstance(route, Reason):
+            return reply(request, self._unroutable(request, route))
+        if request.idempotent or route.work_class.idempotent:
+            return self._take_idempotent(request, route, now)
+        if request.run_token is None:
+            return self._ask_for_token(request, route, now)
+        return self._take_token(request, route, now)
+
+    def _unroutable(self, request: Request, reason: Reason) -> Answer:
+        """Answer a request without a route.
+
+        One with a run token may have run when it still had a route.
+        """
+        if request.run_token is not None and not request.idempotent:
+            return self.answers_.unknown(reason)
+        if reason is Reason.UNKNOWN_PATH:
+            return self.answers_.bad_request(f"{reason}: {request.path}")
+        return self.answers_.not_run(reason)
+
+    def _refusal(self) -> Reason | None:
+        """Say why nothing may start now."""
+        if self.tries_.stopping_:
+            return Reason.STOPPING
+        return Reason.HOST_FULL if self.runner_.is_full else None
+
+    def _take_idempotent(self, request: Request, route: Route, now: float) -> list[Any]:
+        running = self.runner_.table.find(request)
+        if running is not None:
+            return self.runner_.join(running, request)
+        refusal = self._refusal()
+        if refusal is not None:
+            return reply(request, self.answers_.not_run(refusal), route.service)
+        return self.runner_.start(request, route, None, now)
+
+    def _ask_for_token(self, request: Request, route: Route, now: float) -> list[Any]:
+        refusal = self._refusal()
+        if refusal is not None:
+            return reply(request, self.answers_.not_run(refusal), route.service)
+        answer = self.desk_.issue(request, route.service, now)
+        return reply(request, answer, route.service)
+
+    def _take_token(self, request: Request, route: Route, now: float) -> list[Any]:
+        token = self.desk_.read(request, route.service)
+        if isinstance(token, Answer):
+            return reply(request, token, route.service)
+        if token.incarnation != self.incarnation:
+            return self.relayer_.take(request, token, route, now)
+        record = self.desk_.claim(token, request, self._refusal(), now)
+        if isinstance(record, Answer):
+            return reply(request, record, route.service)
+        if record.exchange is not None:
+            return self.runner_.join(record.exchange, request)
+        return self.runner_.start(request, route, record, now)
+
+    def _cancel(self, event: CancelReceived, now: float) -> list[Any]:
+        actions = self.runner_.cancel(event, now)
+        if not actions:
+            self.relayer_.log.forget(event.caller, event.address, event.message_id)
+        return actions
+
+    def _take_peer_message(self, message: Any, now: float) -> list[Any]:
+        if isinstance(message, peer_types.IncarnationGone):
+            return self.relayer_.take_gone(message, now)
+        return []
+
+    def _resume(self, event: PauseDetected, now: float) -> list[Any]:
+        """End what is overdue before anything else starts."""
+        actions: list[Any] = [LogEvent("requests_paused", {"seconds": event.seconds})]
+        actions += self.runner_.end_overdue(now)
+        self.ledger_.expire(now)
+        return actions + self.tries_.apply(self.admission.tick(now), now)
+
+    def _stop(self, now: float) -> list[Any]:
+        fields = {"in_progress": len(self.runner_.table)}
+        actions: list[Any] = [LogEvent("requests_stopping", fields)]
+        return actions + self.runner_.stop(now)
--- /dev/null
+++ b/hornbeamdeal/requests/_exchange.py
@@ -0,0 +1,151 @@
+"""Requests in progress: queued, at a server, or waiting for a retry."""
+
+import heapq
+from enum import Enum
+from hashlib import blake2b
+
+from hornbeamdeal.kernel import BackendServer, Endpoint, Request
+
+from ._ledger import RunRecord
+from ._routing import Route
+
+CallerKey = tuple[Endpoint, Endpoint, int]
+COMPACTION_SLACK = 1024
+
+
+class ExchangeState(Enum):
+    """Where the current try of a request is."""
+
+    QUEUED = "queued"
+    DISPATCHED = "dispatched"
+    RETRY_WAIT = "retry_wait"
+
+
+class Exchange:
+    """A request in progress. Times are in monotonic seconds."""
+
+    __slots__ = (
+        "deadline",
+        "due",
+        "exchange_id",
+        "excluded",
+        "idempotent",
+        "may_have_run",
+        "moves",
+        "retries",
+        "route",
+        "run",
+        "server",
+        "state",
+        "waiting",
+    )
+
+    def __init__(
+        self, request: Request, route: Route, deadline: float, run: RunRecord | None
+    ):
+        self.waiting = [request]
+        self.route = route
+        self.deadline = deadline
+        self.run = run
+        self.idempotent = run is None
+        self.exchange_id = 0
+        self.state = ExchangeState.QUEUED
+        self.server: BackendServer | None = None
+        self.excluded: frozenset[str] = frozenset()
+        self.moves = 0
+        self.retries = 0
+        self.due = deadline
+        # Set when a server got the request and did not refuse it: from then
+        # on "not run" would be a guess.
+        self.may_have_run = False
+
+
+def caller_key(request: Request) -> CallerKey:
+    """Return what identifies a caller's message (RFC 7252, section 4.5)."""
+    return request.caller, request.address, request.message_id
+
+
+def first_exchange_id(incarnation: int) -> int:
+    """Return the start of an incarnation's identifiers.
+
+    A hash of the incarnation spreads the starts over 62 bits, so that an
+    answer to the previous process on the same endpoint matches no exchange of
+    this one.
+    """
+    digest = blake2b(str(incarnation).encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big") >> 2
+
+
+class ExchangeTable:
+    """Exchanges by identifier and caller, and the times to look at them."""
+
+    __slots__ = ("by_caller_", "by_id_", "next_id_", "wakeups_")
+
+    def __init__(self, *, incarnation: int):
+        self.by_id_: dict[int, Exchange] = {}
+        self.by_caller_: dict[CallerKey, Exchange] = {}
+        self.wakeups_: list[tuple[float, int]] = []
+        self.next_id_ = first_exchange_id(incarnation)
+
+    def __len__(self) -> int:
+        return len(self.by_id_)
+
+    def add(self, exchange: Exchange) -> None:
+        """Enter a new exchange."""
+        self.by_caller_[caller_key(exchange.waiting[0])] = exchange
+        self.renew(exchange)
+
+    def renew(self, exchange: Exchange) -> None:
+        """Give an exchange a fresh identifier for its next try."""
+        self.by_id_.pop(exchange.exchange_id, None)
+        exchange.exchange_id = self.next_id_
+        self.next_id_ += 1
+        self.by_id_[exchange.exchange_id] = exchange
+        self.wake(exchange, exchange.deadline)
+
+    def attach(self, exchange: Exchange, request: Request) -> None:
+        """Let another message of the caller wait for the same answer."""
+        exchange.waiting.append(request)
+        self.by_caller_[caller_key(request)] = exchange
+
+    def find(self, request: Request) -> Exchange | None:
+        """Return the exchange of a retransmitted message."""
+        exchange = self.by_caller_.get(caller_key(request))
+        if exchange is None:
+            return None
+        is_same = any(waiting.token == request.token for waiting in exchange.waiting)
+        return exchange if is_same else None
+
+    def leave(self, exchange: Exchange, key: CallerKey) -> None:
+        """Let one message no longer wait for the exchange's answer."""
+        exchange.waiting = [r for r in exchange.waiting if caller_key(r) != key]
+        del self.by_caller_[key]
+
+    def remove(self, exchange: Exchange) -> None:
+        """Forget an exchange."""
+        del self.by_id_[exchange.exchange_id]
+        for request in exchange.waiting:
+            key = caller_key(request)
+            if self.by_caller_.get(key) is exchange:
+                del self.by_caller_[key]
+
+    def wake(self, exchange: Exchange, at: float) -> None:
+        """Look at the exchange's current try at this time."""
+        heapq.heappush(self.wakeups_, (at, exchange.exchange_id))
+        if len(self.wakeups_) > 4 * len(self.by_id_) + COMPACTION_SLACK:
+            self._compact()
+
+    def due(self, now: float) -> list[Exchange]:
+        """Return the exchanges whose time has come."""
+        found = []
+        while self.wakeups_ and self.wakeups_[0][0] <= now:
+            _, exchange_id = heapq.heappop(self.wakeups_)
+            exchange = self.by_id_.get(exchange_id)
+            if exchange is not None:
+                found.append(exchange)
+        return found
+
+    def _compact(self) -> None:
+        """Drop the times of exchanges that have ended."""
+        self.wakeups_ = [item for item in self.wakeups_ if item[1] in self.by_id_]
+        heapq.heapify(self.wakeups_)
--- /dev/null
+++ b/hornbeamdeal/requests/_ledger.py
@@ -0,0 +1,118 @@
+"""Record of the run tokens that were used on this host.
+
+An unused token needs no memory: its MAC proves that it was issued, and an
+unexpired token without a record has never run, because records are dropped
+only after their token expired.
+"""
+
+import heapq
+from collections import deque
+
+from hornbeamdeal.kernel import Answer, AnswerStatus
+
+from ._base import Limits, Reason
+from ._token import RunToken
+
+ANSWER_NOT_KEPT = Answer(
+    AnswerStatus.OUTCOME_UNKNOWN, reason=Reason.ANSWER_NOT_KEPT.value
+)
+
+
+class RunRecord:
+    """Use of one token; `answer` is None while its request is in progress."""
+
+    __slots__ = ("answer", "counter", "exchange", "keep_until", "request_digest")
+
+    def __init__(self, counter: int, request_digest: int, keep_until: float):
+        self.counter = counter
+        self.request_digest = request_digest
+        self.keep_until = keep_until
+        self.answer: Answer | None = None
+        self.exchange = None
+
+
+class RunLedger:
+    """Used tokens and the answers of their runs, in bounded memory."""
+
+    __slots__ = (
+        "expiries_",
+        "invalid_up_to_",
+        "limits",
+        "records_by_counter_",
+        "stored_bytes_",
+        "stored_order_",
+    )
+
+    def __init__(self, *, limits: Limits):
+        self.limits = limits
+        self.records_by_counter_: dict[int, RunRecord] = {}
+        self.expiries_: list[tuple[float, int]] = []
+        self.stored_order_: deque[int] = deque()
+        self.stored_bytes_ = 0
+        self.invalid_up_to_ = 0
+
+    @property
+    def is_full(self) -> bool:
+        """Tell whether no further token can be used."""
+        return len(self.records_by_counter_) >= self.limits.maximum_tokens
+
+    def find(self, counter: int) -> RunRecord | None:
+        """Return the record of a used token."""
+        return self.records_by_counter_.get(counter)
+
+    def use(self, token: RunToken, request_digest: int) -> RunRecord:
+        """Record the first use of a token."""
+        record = RunRecord(token.counter, request_digest, float(token.expiry))
+        self.records_by_counter_[token.counter] = record
+        heapq.heappush(self.expiries_, (record.keep_until, token.counter))
+        return record
+
+    def invalidate_up_to(self, counter: int) -> None:
+        """Let no unused token up to this counter run.
+
+        Used when the ledger is full: the "not run" of a token that cannot be
+        recorded stays true, at the cost of the other unused tokens.
+        """
+        self.invalid_up_to_ = max(self.invalid_up_to_, counter)
+
+    def is_invalidated(self, counter: int) -> bool:
+        """Tell whether an unused token may no longer run."""
+        return counter <= self.invalid_up_to_
+
+    def finish(self, record: RunRecord, answer: Answer, now: float) -> None:
+        """Keep the final answer of a token's request."""
+        record.exchange = None
+        record.answer = answer
+        record.keep_until = max(record.keep_until, now + self.limits.answer_retention)
+        if answer.payload:
+            self.stored_order_.append(record.counter)
+            self.stored_bytes_ += len(answer.payload)
+            self._shed_payloads()
+
+    def expire(self, now: float) -> None:
+        """Drop the records whose time has passed."""
+        while self.expiries_ and self.expiries_[0][0] <= now:
+            _, counter = heapq.heappop(self.expiries_)
+            record = self.records_by_counter_[counter]
+            if record.answer is None:
+                heapq.heappush(self.expiries_, (now + 1.0, counter))
+            elif record.keep_until > now:
+                heapq.heappush(self.expiries_, (record.keep_until, counter))
+            else:
+                self._drop(record)
+
+    def _drop(self, record: RunRecord) -> None:
+        del self.records_by_counter_[record.counter]
+        self.stored_bytes_ -= len(record.answer.payload)
+        while self.stored_order_ and self.stored_order_[0] not in (
+            self.records_by_counter_
+        ):
+            self.stored_order_.popleft()
+
+    def _shed_payloads(self) -> None:
+        """Replace the oldest answers while their payloads exceed the bound."""
+        while self.stored_bytes_ > self.limits.maximum_stored_bytes:
+            record = self.records_by_counter_.get(self.stored_order_.popleft())
+            if record is not None:
+                self.stored_bytes_ -= len(record.answer.payload)
+                record.answer = ANSWER_NOT_KEPT
--- /dev/null
+++ b/hornbeamdeal/requests/_relay.py
@@ -0,0 +1,115 @@
+"""Requests relayed to the issuers of their run tokens.
+
+The issuer answers the caller itself, and a relayed request is not
+acknowledged by the relaying host, so a caller whose relay was lost
+retransmits it. The log serves one case only: the issuer dies after it
+acknowledged the request. Then the relaying host ends the request as "outcome
+unknown" as soon as its view shows the death.
+"""
+
+from dataclasses import dataclass
+
+from hornbeamdeal.kernel import Endpoint, HostState, Request, View
+
+from ._exchange import CallerKey, caller_key
+
+SWEEP_SECONDS = 0.25
+
+
+@dataclass(frozen=True, slots=True)
+class Relay:
+    """A relayed request; times are in monotonic seconds."""
+
+    request: Request
+    started: float
+    deadline: float
+
+
+class RelayLog:
+    """Open relays by incarnation of the issuer."""
+
+    __slots__ = (
+        "count_",
+        "grace",
+        "maximum",
+        "next_sweep_",
+        "relays_by_incarnation_",
+        "states_by_incarnation_",
+    )
+
+    def __init__(self, *, grace: float, maximum: int):
+        self.grace = grace
+        self.maximum = maximum
+        self.relays_by_incarnation_: dict[int, dict[CallerKey, Relay]] = {}
+        self.states_by_incarnation_: dict[int, HostState] = {}
+        self.count_ = 0
+        self.next_sweep_ = 0.0
+
+    def update(self, view: View) -> None:
+        """Take the hosts' incarnations and states from a view."""
+        self.states_by_incarnation_ = {
+            host.incarnation: host.state for host in view.hosts_by_id.values()
+        }
+
+    def is_gone(self, incarnation: int) -> bool:
+        """Tell whether the view calls this incarnation dead."""
+        return self.states_by_incarnation_.get(incarnation) is HostState.DEAD
+
+    def mark_gone(self, incarnation: int) -> None:
+        """Take a peer's word that another process runs at its endpoint."""
+        self.states_by_incarnation_[incarnation] = HostState.DEAD
+
+    def add(self, incarnation: int, relay: Relay) -> bool:
+        """Log a relay; return False if the log is full."""
+        relays = self.relays_by_incarnation_.setdefault(incarnation, {})
+        key = caller_key(relay.request)
+        previous = relays.get(key)
+        if previous is not None:
+            # A retransmission does not restart the grace of an unknown issuer.
+            relays[key] = Relay(relay.request, previous.started, relay.deadline)
+            return True
+        if self.count_ >= self.maximum:
+            return False
+        relays[key] = relay
+        self.count_ += 1
+        return True
+
+    def forget(self, caller: Endpoint, address: Endpoint, message_id: int) -> None:
+        """Drop a relay whose caller no longer wants the answer."""
+        for relays in self.relays_by_incarnation_.values():
+            if relays.pop((caller, address, message_id), None) is not None:
+                self.count_ -= 1
+                return
+
+    def sweep(self, now: float) -> list[Request]:
+        """Return the requests whose issuer is gone; forget overdue ones."""
+        if now < self.next_sweep_:
+            return []
+        self.next_sweep_ = now + SWEEP_SECONDS
+        ended = []
+        for incarnation in list(self.relays_by_incarnation_):
+            ended += self._sweep_issuer(incarnation, now)
+        return ended
+
+    def end_gone(self, now: float) -> list[Request]:
+        """Sweep at once, because the view or a peer brought news."""
+        self.next_sweep_ = now
+        return self.sweep(now)
+
+    def _sweep_issuer(self, incarnation: int, now: float) -> list[Request]:
+        relays = self.relays_by_incarnation_[incarnation]
+        is_known = incarnation in self.states_by_incarnation_
+        is_gone = self.is_gone(incarnation)
+        ended = []
+        for key, relay in list(relays.items()):
+            is_given_up = is_gone or (
+                not is_known and now >= relay.started + self.grace
+            )
+            if is_given_up:
+                ended.append(relay.request)
+            if is_given_up or now >= relay.deadline:
+                del relays[key]
+                self.count_ -= 1
+        if not relays:
+            del self.relays_by_incarnation_[incarnation]
+        return ended
--- /dev/null
+++ b/hornbeamdeal/requests/_replay.py
@@ -0,0 +1,244 @@
+"""Small fakes that drive dispatchers in traces, tests and benchmarks."""
+
+from dataclasses import replace
+from typing import Any
+
+from hornbeamdeal.admission._base import Decision, RefusalReason, Refuse, Start, Ticket
+from hornbeamdeal.kernel import (
+    Address,
+    AddressKind,
+    Answer,
+    BackendServer,
+    Dispatch,
+    Endpoint,
+    EntryHost,
+    HostState,
+    PeerReceived,
+    RelayRequest,
+    ReplyToCaller,
+    Request,
+    RequestReceived,
+    SendPeer,
+    ServerAnswer,
+    Service,
+    View,
+    WorkClass,
+    create,
+)
+
+SERVICE = "reservas"
+ADDRESS = Endpoint("10.1.0.1", 5683)
+CALLER = Endpoint("10.9.0.1", 40000)
+TOKEN_KEY = b"token key of thirty-two bytes..."
+PEER_PORT = 7000
+REFUSAL_RETRY_AFTER = 1.0
+WORK_CLASSES = (
+    WorkClass("bookings", "/bookings", 2.0, idempotent=False),
+    WorkClass("photos", "/photos", 60.0, idempotent=False, long=True),
+    WorkClass("map", "/map", 2.0, idempotent=True),
+)
+
+
+class DirectAdmission:
+    """Starts each ticket at the first server that is not excluded.
+
+    While `is_held` is set, tickets wait; `free` starts them.
+    """
+
+    def __init__(self, servers: list[BackendServer]):
+        self.servers = servers
+        self.is_held = False
+        self.is_closed = False
+        self.waiting: dict[int, Ticket] = {}
+        self.started: dict[int, str] = {}
+
+    def update(self, view: View, now: float) -> list[Decision]:
+        """Take a new view; the fake keeps its servers."""
+        return []
+
+    def offer(self, ticket: Ticket, now: float) -> list[Decision]:
+        """Start a ticket, queue it while held, refuse it once closed."""
+        if self.is_closed:
+            return [self._refuse(ticket, RefusalReason.STOPPING)]
+        if self.is_held:
+            self.waiting[ticket.ticket_id] = ticket
+            return []
+        return [self._start(ticket)]
+
+    def release(
+        self, ticket_id: int, answer: ServerAnswer, now: float
+    ) -> list[Decision]:
+        """Free a slot."""
+        del self.started[ticket_id]
+        return []
+
+    def withdraw(self, ticket_id: int, now: float) -> list[Decision]:
+        """Forget a ticket."""
+        self.waiting.pop(ticket_id, None)
+        self.started.pop(ticket_id, None)
+        return []
+
+    def tick(self, now: float) -> list[Decision]:
+        """Start what waits unless tickets are held."""
+        return [] if self.is_held else self.free()
+
+    def free(self) -> list[Decision]:
+        """Start all waiting tickets."""
+        tickets, self.waiting = list(self.waiting.values()), {}
+        return [self._start(ticket) for ticket in tickets]
+
+    def shed(self) -> list[Decision]:
+        """Refuse all waiting tickets."""
+        tickets, self.waiting = list(self.waiting.values()), {}
+        return [self._refuse(ticket, RefusalReason.QUEUE_FULL) for ticket in tickets]
+
+    def close(self, now: float) -> list[Decision]:
+        """Refuse what waits and what comes."""
+        self.is_closed = True
+        tickets, self.waiting = list(self.waiting.values()), {}
+        return [self._refuse(ticket, RefusalReason.STOPPING) for ticket in tickets]
+
+    def _start(self, ticket: Ticket) -> Start:
+        allowed = [s for s in self.servers if s.server_id not in ticket.excluded]
+        server = (allowed or self.servers)[0]
+        self.started[ticket.ticket_id] = server.server_id
+        return Start(ticket, server)
+
+    def _refuse(self, ticket: Ticket, reason: RefusalReason) -> Refuse:
+        return Refuse(ticket, reason, REFUSAL_RETRY_AFTER)
+
+
+def make_servers() -> list[BackendServer]:
+    """Return the servers of the replayed service."""
+    return [
+        BackendServer(f"reservas-{n}", SERVICE, Endpoint("10.2.0.1", 8000 + n), "z")
+        for n in (1, 2, 3)
+    ]
+
+
+def make_request(name: str, path: str = "/bookings", **fields: Any) -> Request:
+    """Return a request whose CoAP token is its name."""
+    method = fields.pop("method", "POST")
+    message_id = fields.pop("message_id", int.from_bytes(name.encode(), "big") % 65536)
+    return Request(
+        caller=fields.pop("caller", CALLER),
+        address=fields.pop("address", ADDRESS),
+        token=name.encode(),
+        message_id=message_id,
+        method=method,
+        path=path,
+        payload=fields.pop("payload", b""),
+        idempotent=method in ("GET", "PUT", "DELETE"),
+        datagram=name.encode(),
+        **fields,
+    )
+
+
+class HostFleet:
+    """A few dispatchers that reach each other at once.
+
+    `replies` and `dispatches` hold what the hosts told callers and servers, in
+    order; a host without a dispatcher is down.
+    """
+
+    def __init__(self, incarnations_by_id: dict[str, int], *, plugin: str, limits=None):
+        self.plugin = plugin
+        self.limits = limits
+        self.incarnations_by_id = dict(incarnations_by_id)
+        self.states_by_id = dict.fromkeys(incarnations_by_id, HostState.ALIVE)
+        self.dispatchers_by_id: dict[str, Any] = {}
+        self.replies: list[tuple[Request, Answer]] = []
+        self.dispatches: list[tuple[str, Dispatch]] = []
+        self.actions: list[Any] = []
+        for host_id in incarnations_by_id:
+            self.start(host_id, incarnations_by_id[host_id], 0.0)
+
+    def endpoint(self, host_id: str) -> Endpoint:
+        """Return a host's endpoint; it stays the same over restarts."""
+        number = list(self.incarnations_by_id).index(host_id) + 1
+        return Endpoint(f"10.0.0.{number}", PEER_PORT)
+
+    def start(self, host_id: str, incarnation: int, now: float) -> None:
+        """Start a host without memory."""
+        self.incarnations_by_id[host_id] = incarnation
+        self.dispatchers_by_id[host_id] = create(
+            "requests",
+            self.plugin,
+            admission=DirectAdmission(make_servers()),
+            host_id=host_id,
+            incarnation=incarnation,
+            endpoint=self.endpoint(host_id),
+            token_key=TOKEN_KEY,
+            limits=self.limits,
+        )
+        self.update(host_id, now)
+
+    def kill(self, host_id: str) -> None:
+        """End a host; messages to it are lost."""
+        del self.dispatchers_by_id[host_id]
+
+    def view(self, own_id: str) -> View:
+        """Return the view of one host."""
+        hosts = {
+            host_id: EntryHost(
+                host_id,
+                incarnation,
+                self.endpoint(host_id),
+                "z",
+                self.states_by_id[host_id],
+            )
+            for host_id, incarnation in self.incarnations_by_id.items()
+        }
+        address = Address("reservas-requests", SERVICE, ADDRESS, AddressKind.REQUESTS)
+        return View(
+            own_id=own_id,
+            own_zone="z",
+            services_by_name={SERVICE: Service(SERVICE, WORK_CLASSES)},
+            servers_by_id={server.server_id: server for server in make_servers()},
+            addresses_by_endpoint={ADDRESS: address},
+            hosts_by_id=hosts,
+        )
+
+    def update(self, host_id: str, now: float) -> None:
+        """Give a host its view."""
+        dispatcher = self.dispatchers_by_id[host_id]
+        self.carry_out(host_id, dispatcher.update(self.view(host_id), now), now)
+
+    def handle(self, host_id: str, event: Any, now: float) -> list[Any]:
+        """Hand an event to a host; a host that is down loses it."""
+        if host_id not in self.dispatchers_by_id:
+            return []
+        actions = self.dispatchers_by_id[host_id].handle(event, now)
+        self.carry_out(host_id, actions, now)
+        return actions
+
+    def tick(self, host_id: str, now: float) -> list[Any]:
+        """Tick a host."""
+        actions = self.dispatchers_by_id[host_id].tick(now)
+        self.carry_out(host_id, actions, now)
+        return actions
+
+    def carry_out(self, host_id: str, actions: list[Any], now: float) -> None:
+        """Record what a host does, and deliver what it sends to peers."""
+        self.actions += actions
+        for action in actions:
+            if isinstance(action, ReplyToCaller):
+                self.replies.append((action.request, action.answer))
+            elif isinstance(action, Dispatch):
+                self.dispatches.append((host_id, action))
+            elif isinstance(action, RelayRequest | SendPeer):
+                self._deliver(host_id, action, now)
+
+    def _deliver(self, sender: str, action: RelayRequest | SendPeer, now: float):
+        for host_id in list(self.dispatchers_by_id):
+            if self.endpoint(host_id) != action.endpoint:
+                continue
+            self.handle(host_id, self._peer_event(sender, action), now)
+
+    def _peer_event(self, sender: str, action: RelayRequest | SendPeer) -> Any:
+        if isinstance(action, SendPeer):
+            incarnation = self.incarnations_by_id[sender]
+            endpoint = self.endpoint(sender)
+            return PeerReceived(sender, incarnation, endpoint, action.message)
+        sender_endpoint = self.endpoint(sender)
+        return RequestReceived(replace(action.request, relayed_by=sender_endpoint))
--- /dev/null
+++ b/hornbeamdeal/requests/_retries.py
@@ -0,0 +1,56 @@
+"""Decides whether and when a request gets another try."""
+
+from random import Random
+
+from ._base import Limits
+from ._budget import RetryBudget
+from ._exchange import Exchange
+
+JITTER_LOW = 0.5
+JITTER_HIGH = 1.5
+
+
+class RetryPolicy:
+    """Budget, delay and try length of one host's retries."""
+
+    __slots__ = ("budget_", "limits", "random_")
+
+    def __init__(self, *, limits: Limits, random: Random):
+        self.limits = limits
+        self.random_ = random
+        self.budget_ = RetryBudget(
+            ratio=limits.retry_ratio, floor_per_second=limits.retry_floor_per_second
+        )
+
+    def record_success(self, now: float) -> None:
+        """Count one answered request."""
+        self.budget_.record_success(now)
+
+    def try_ends(self, exchange: Exchange, now: float) -> float:
+        """Return when a dispatched try counts as lost.
+
+        Long work keeps its whole deadline: a second upload costs more than
+        the wait.
+        """
+        if not exchange.idempotent or exchange.route.work_class.long:
+            return exchange.deadline
+        return now + self.limits.try_share * (exchange.deadline - now)
+
+    def may_move(self, exchange: Exchange, now: float) -> bool:
+        """Tell whether a refused request may go to another server."""
+        return exchange.moves < self.limits.maximum_moves and now < exchange.deadline
+
+    def take_retry(self, exchange: Exchange, now: float) -> bool:
+        """Take a retry from the budget, if the work allows one."""
+        if not exchange.idempotent or exchange.retries >= self.limits.maximum_retries:
+            return False
+        longest = self._delay(exchange) * JITTER_HIGH
+        return now + longest < exchange.deadline and self.budget_.take(now)
+
+    def next_try(self, exchange: Exchange, now: float) -> float:
+        """Return the jittered time of the next try."""
+        jitter = self.random_.uniform(JITTER_LOW, JITTER_HIGH)
+        return now + self._delay(exchange) * jitter
+
+    def _delay(self, exchange: Exchange) -> float:
+        return self.limits.retry_delay * 2**exchange.retries
--- /dev/null
+++ b/hornbeamdeal/requests/_runner.py
@@ -0,0 +1,116 @@
+"""Owns the exchanges of one host."""
+
+from typing import Any
+
+from hornbeamdeal.kernel import (
+    AcknowledgeRequest,
+    CancelReceived,
+    Count,
+    Request,
+    ServerAnswered,
+)
+
+from ._base import Limits, Reason
+from ._exchange import Exchange, ExchangeState
+from ._ledger import RunRecord
+from ._routing import Route
+from ._tries import TryDriver
+
+
+def acknowledge(request: Request) -> list[Any]:
+    """Return the acknowledgement of a confirmable request."""
+    return [AcknowledgeRequest(request)] if request.confirmable else []
+
+
+class ExchangeRunner:
+    """Starts, joins, cancels, wakes and stops exchanges."""
+
+    __slots__ = ("limits", "table", "tries")
+
+    def __init__(self, *, tries: TryDriver, limits: Limits):
+        self.tries = tries
+        self.table = tries.table
+        self.limits = limits
+
+    @property
+    def is_full(self) -> bool:
+        """Tell whether no further exchange can be held."""
+        return len(self.table) >= self.limits.maximum_exchanges
+
+    def start(
+        self, request: Request, route: Route, run: RunRecord | None, now: float
+    ) -> list[Any]:
+        """Begin an exchange and offer it to admission."""
+        exchange = Exchange(request, route, now + route.work_class.deadline, run)
+        if run is not None:
+            run.exchange = exchange
+        self.table.add(exchange)
+        actions = self.tries.offer(exchange, now)
+        if exchange.waiting:
+            return acknowledge(request) + actions
+        return actions
+
+    def join(self, exchange: Exchange, request: Request) -> list[Any]:
+        """Let a duplicate wait for the exchange's answer.
+
+        A duplicate beyond the bound is not acknowledged, so that its caller
+        sends it again and finds the stored answer.
+        """
+        if self.table.find(request) is exchange:
+            return acknowledge(request)
+        if len(exchange.waiting) >= self.limits.maximum_waiting:
+            return []
+        self.table.attach(exchange, request)
+        return acknowledge(request)
+
+    def take_answer(self, event: ServerAnswered, now: float) -> list[Any]:
+        """Take an answer that matches an exchange and its server."""
+        exchange = self.table.by_id_.get(event.exchange_id)
+        if exchange is None or exchange.state is not ExchangeState.DISPATCHED:
+            return [Count("answers_dropped", "no_exchange")]
+        if exchange.server.server_id != event.server_id:
+            return [Count("answers_dropped", "other_server", exchange.route.service)]
+        admission = self.tries.admission
+        decisions = admission.release(event.exchange_id, event.answer, now)
+        actions = self.tries.conclude(exchange, event.answer, now)
+        return actions + self.tries.apply(decisions, now)
+
+    def cancel(self, event: CancelReceived, now: float) -> list[Any]:
+        """End an exchange whose callers all gave up."""
+        key = (event.caller, event.address, event.message_id)
+        exchange = self.table.by_caller_.get(key)
+        if exchange is None:
+            return []
+        if len(exchange.waiting) > 1:
+            self.table.leave(exchange, key)
+            return []
+        return self.tries.abandon(exchange, now)
+
+    def wake(self, now: float) -> list[Any]:
+        """End, retry or offer the exchanges whose time has come."""
+        actions = []
+        for exchange in self.table.due(now):
+            if not exchange.waiting:
+                continue
+            if now >= exchange.deadline:
+                actions += self.tries.expire(exchange, now)
+            elif now >= exchange.due:
+                actions += self.tries.next_try(exchange, now)
+        return actions
+
+    def end_overdue(self, now: float) -> list[Any]:
+        """End every exchange whose deadline has passed."""
+        actions = []
+        for exchange in list(self.table.by_id_.values()):
+            if exchange.waiting and now >= exchange.deadline:
+                actions += self.tries.expire(exchange, now)
+        return actions
+
+    def stop(self, now: float) -> list[Any]:
+        """Refuse what has not started; what is at a server goes on."""
+        self.tries.stopping_ = True
+        actions = self.tries.apply(self.tries.admission.close(now), now)
+        for exchange in list(self.table.by_id_.values()):
+            if exchange.state is ExchangeState.RETRY_WAIT:
+                actions += self.tries.end(exchange, Reason.STOPPING, now)
+        return actions
--- /dev/null
+++ b/hornbeamdeal/requests/_runs.py
@@ -0,0 +1,107 @@
+"""Issues run tokens and decides what a request with a token may do."""
+
+import math
+
+import xxhash
+
+from hornbeamdeal.kernel import Answer, AnswerStatus, Endpoint, Request
+
+from ._answers import AnswerMaker
+from ._base import Limits, Reason
+from ._ledger import RunLedger, RunRecord
+from ._token import TOKEN_BYTES, RunToken, TokenSealer
+
+
+def digest_request(request: Request) -> int:
+    """Return a digest of what a request asks for."""
+    head = f"{request.method} {request.path}\0".encode()
+    return xxhash.xxh3_64_intdigest(head + request.payload)
+
+
+class RunDesk:
+    """The run tokens of one incarnation."""
+
+    __slots__ = (
+        "answers",
+        "counter_",
+        "endpoint",
+        "incarnation",
+        "ledger",
+        "limits",
+        "sealer",
+    )
+
+    def __init__(
+        self,
+        *,
+        sealer: TokenSealer,
+        ledger: RunLedger,
+        answers: AnswerMaker,
+        limits: Limits,
+        incarnation: int,
+        endpoint: Endpoint,
+    ):
+        self.sealer = sealer
+        self.ledger = ledger
+        self.answers = answers
+        self.limits = limits
+        self.incarnation = incarnation
+        self.endpoint = endpoint
+        self.counter_ = 0
+
+    def issue(self, request: Request, service: str, now: float) -> Answer:
+        """Return the answer that asks the caller to repeat with a token."""
+        if self.ledger.is_full:
+            return self.answers.not_run(Reason.TOKENS_FULL)
+        self.counter_ += 1
+        expiry = math.ceil(now + self.limits.token_lifetime)
+        token = RunToken(self.incarnation, self.endpoint, self.counter_, expiry)
+        return Answer(
+            AnswerStatus.RUN_TOKEN_REQUIRED,
+            reason="repeat the request with this run token",
+            run_token=self.sealer.seal(token, service, request.caller),
+        )
+
+    def read(self, request: Request, service: str) -> RunToken | Answer:
+        """Return the request's token, or the answer to one that is not valid.
+
+        A token whose MAC does not fit may have been sealed with a retired
+        key, and its request may have run: only "outcome unknown" is sure.
+        """
+        if len(request.run_token) != TOKEN_BYTES:
+            return self.answers.bad_request(Reason.TOKEN_MALFORMED)
+        token = self.sealer.open(request.run_token, service, request.caller)
+        if token is None:
+            return self.answers.unknown(Reason.TOKEN_NOT_VALID)
+        return token
+
+    def claim(
+        self, token: RunToken, request: Request, refusal: Reason | None, now: float
+    ) -> RunRecord | Answer:
+        """Return the record of a token of this incarnation, or a final answer.
+
+        A new record means that the request may start, and it is the only one
+        ever made for the token. `refusal` says why nothing may start now.
+        """
+        digest = digest_request(request)
+        record = self.ledger.find(token.counter)
+        if record is not None:
+            return self._reuse(record, digest)
+        if now >= token.expiry:
+            return self.answers.unknown(Reason.TOKEN_EXPIRED)
+        if self.ledger.is_invalidated(token.counter):
+            return self.answers.not_run(Reason.TOKEN_INVALIDATED)
+        if self.ledger.is_full:
+            self.ledger.invalidate_up_to(token.counter)
+            return self.answers.not_run(Reason.TOKENS_FULL)
+        record = self.ledger.use(token, digest)
+        if refusal is not None:
+            self.ledger.finish(record, self.answers.not_run(refusal), now)
+            return record.answer
+        return record
+
+    def _reuse(self, record: RunRecord, digest: int) -> RunRecord | Answer:
+        """Return a used token's record or answer to a duplicate request."""
+        if record.request_digest != digest:
+            return self.answers.bad_request(Reason.TOKEN_OF_OTHER_REQUEST)
+        return record if record.answer is None else record.answer
--- /dev/null
+++ b/hornbeamdeal/requests/_tries.py
@@ -0,0 +1,216 @@
+"""Carries one exchange from try to try until its final answer."""
+
+from collections import deque
+from typing import Any
+
+from hornbeamdeal.admission._base import Admission, Decision, Start, Ticket
+from hornbeamdeal.kernel import (
+    Answer,
+    CancelDispatch,
+    Count,
+    Dispatch,
+    Outcome,
+    ServerAnswer,
+)
+
+from ._answers import AnswerMaker, answered, is_refusal, reply
+from ._base import Reason
+from ._exchange import Exchange, ExchangeState, ExchangeTable
+from ._ledger import RunLedger
+from ._retries import RetryPolicy
+
+_LOST = ServerAnswer(Outcome.TIMED_OUT)
+
+
+class TryDriver:
+    """Offers tries to admission, dispatches them and concludes exchanges."""
+
+    __slots__ = ("admission", "answers", "ledger", "retries", "stopping_", "table")
+
+    def __init__(
+        self,
+        *,
+        admission: Admission,
+        answers: AnswerMaker,
+        ledger: RunLedger,
+        retries: RetryPolicy,
+        table: ExchangeTable,
+    ):
+        self.admission = admission
+        self.answers = answers
+        self.ledger = ledger
+        self.retries = retries
+        self.table = table
+        self.stopping_ = False
+
+    def offer(self, exchange: Exchange, now: float) -> list[Any]:
+        """Offer the exchange's current try to admission."""
+        exchange.state = ExchangeState.QUEUED
+        exchange.server = None
+        exchange.due = exchange.deadline
+        work_class = exchange.route.work_class
+        ticket = Ticket(
+            ticket_id=exchange.exchange_id,
+            service=exchange.route.service,
+            work_class=work_class.name,
+            long=work_class.long,
+            caller=exchange.waiting[0].caller,
+            deadline=exchange.deadline,
+            excluded=exchange.excluded,
+        )
+        return self.apply(self.admission.offer(ticket, now), now)
+
+    def apply(self, decisions: list[Decision], now: float) -> list[Any]:
+        """Carry out admission's decisions, and those that follow from them."""
+        actions: list[Any] = []
+        pending = deque(decisions)
+        while pending:
+            decision = pending.popleft()
+            exchange = self.table.by_id_.get(decision.ticket.ticket_id)
+            if isinstance(decision, Start):
+                pending.extend(self._start(exchange, decision, now, actions))
+            elif exchange is not None and exchange.state is ExchangeState.QUEUED:
+                reason = decision.reason.value
+                actions += self.end(exchange, reason, now, decision.retry_after)
+        return actions
+
+    def _start(
+        self,
+        exchange: Exchange | None,
+        decision: Start,
+        now: float,
+        actions: list[Any],
+    ) -> list[Decision]:
+        """Dispatch a queued exchange, unless its deadline passed meanwhile."""
+        ticket_id = decision.ticket.ticket_id
+        if exchange is None:
+            return self.admission.withdraw(ticket_id, now)
+        if exchange.state is not ExchangeState.QUEUED:
+            return []
+        if now >= exchange.deadline:
+            actions += self.end(exchange, Reason.DEADLINE_PASSED, now)
+            return self.admission.withdraw(ticket_id, now)
+        actions.append(self._dispatch(exchange, decision, now))
+        return []
+
+    def _dispatch(self, exchange: Exchange, decision: Start, now: float) -> Dispatch:
+        exchange.state = ExchangeState.DISPATCHED
+        exchange.server = decision.server
+        exchange.due = self.retries.try_ends(exchange, now)
+        if exchange.due < exchange.deadline:
+            self.table.wake(exchange, exchange.due)
+        return Dispatch(
+            decision.server,
+            exchange.exchange_id,
+            exchange.waiting[0],
+            exchange.deadline,
+        )
+
+    def conclude(
+        self, exchange: Exchange, answer: ServerAnswer, now: float
+    ) -> list[Any]:
+        """Take the end of a dispatched try."""
+        if is_refusal(answer):
+            return self._move(exchange, answer, now)
+        if answer.outcome is Outcome.ANSWERED:
+            self.retries.record_success(now)
+            return self.finish(exchange, answered(answer), now)
+        exchange.may_have_run = True
+        if self._take_retry(exchange, now):
+            return self._schedule_retry(exchange, answer.outcome.value, now)
+        return self.finish(exchange, self.answers.failed(answer), now)
+
+    def _move(self, exchange: Exchange, answer: ServerAnswer, now: float) -> list[Any]:
+        """Offer a refused request again without the server that refused it."""
+        if self.stopping_ or not self.retries.may_move(exchange, now):
+            reason = Reason.SERVERS_REFUSED
+            return self.end(exchange, reason, now, answer.retry_after)
+        exchange.excluded |= {exchange.server.server_id}
+        exchange.moves += 1
+        self.table.renew(exchange)
+        count = Count("requests_retried", "server_refused", exchange.route.service)
+        return [count, *self.offer(exchange, now)]
+
+    def _take_retry(self, exchange: Exchange, now: float) -> bool:
+        return not self.stopping_ and self.retries.take_retry(exchange, now)
+
+    def _schedule_retry(self, exchange: Exchange, reason: str, now: float) -> list[Any]:
+        exchange.excluded |= {exchange.server.server_id}
+        exchange.state = ExchangeState.RETRY_WAIT
+        exchange.due = self.retries.next_try(exchange, now)
+        exchange.retries += 1
+        self.table.renew(exchange)
+        self.table.wake(exchange, exchange.due)
+        return [Count("requests_retried", reason, exchange.route.service)]
+
+    def next_try(self, exchange: Exchange, now: float) -> list[Any]:
+        """Offer a delayed retry, or replace a try whose answer is overdue."""
+        if exchange.state is ExchangeState.RETRY_WAIT:
+            return self.offer(exchange, now)
+        is_overdue = exchange.state is ExchangeState.DISPATCHED
+        if not is_overdue or not self._take_retry(exchange, now):
+            return []
+        exchange.may_have_run = True
+        actions, decisions = self._give_up_try(exchange, now)
+        actions += self._schedule_retry(exchange, Outcome.TIMED_OUT.value, now)
+        return actions + self.apply(decisions, now)
+
+    def _give_up_try(
+        self, exchange: Exchange, now: float
+    ) -> tuple[list[Any], list[Decision]]:
+        """Cancel a try at its server and free its slot."""
+        cancel = CancelDispatch(exchange.server, exchange.exchange_id)
+        decisions = self.admission.release(exchange.exchange_id, _LOST, now)
+        return [cancel], decisions
+
+    def expire(self, exchange: Exchange, now: float) -> list[Any]:
+        """End an exchange whose deadline has passed."""
+        actions: list[Any] = []
+        decisions: list[Decision] = []
+        reason = Reason.DEADLINE_PASSED
+        if exchange.state is ExchangeState.DISPATCHED:
+            exchange.may_have_run = True
+            reason = Reason.ANSWER_LOST
+            actions, decisions = self._give_up_try(exchange, now)
+        elif exchange.state is ExchangeState.QUEUED:
+            decisions = self.admission.withdraw(exchange.exchange_id, now)
+        actions += self.end(exchange, reason, now)
+        return actions + self.apply(decisions, now)
+
+    def abandon(self, exchange: Exchange, now: float) -> list[Any]:
+        """End an exchange that nobody waits for, and pass the cancellation on."""
+        actions: list[Any] = [Count("requests_cancelled")]
+        decisions: list[Decision] = []
+        if exchange.state is ExchangeState.DISPATCHED:
+            exchange.may_have_run = True
+            actions.append(CancelDispatch(exchange.server, exchange.exchange_id))
+        if exchange.state is not ExchangeState.RETRY_WAIT:
+            decisions = self.admission.withdraw(exchange.exchange_id, now)
+        # The caller wants no answer; its run token keeps one all the same.
+        self.end(exchange, Reason.CANCELLED, now)
+        return actions + self.apply(decisions, now)
+
+    def end(
+        self,
+        exchange: Exchange,
+        reason: str,
+        now: float,
+        retry_after: float | None = None,
+    ) -> list[Any]:
+        """Finish without a server's answer: "not run" only where that is sure."""
+        if exchange.may_have_run:
+            answer = self.answers.unknown(reason)
+        else:
+            answer = self.answers.not_run(reason, retry_after)
+        return self.finish(exchange, answer, now)
+
+    def finish(self, exchange: Exchange, answer: Answer, now: float) -> list[Any]:
+        """Answer all that wait and keep the answer under the run token."""
+        self.table.remove(exchange)
+        if exchange.run is not None:
+            self.ledger.finish(exchange.run, answer, now)
+        actions = []
+        for request in exchange.waiting:
+            actions += reply(request, answer, exchange.route.service)
+        exchange.waiting = []
+        return actions
