Add admission plug-ins slot_shares, random, round_robin, least_loaded

Cause: the dispatcher needs one contract that starts, queues or refuses. Ruled out: one class for all rules; limits, health, queue, home slots and return times are separate so that each is tested alone. Conclusion: working state, not yet tuned.

--- a/hornbeamdeal/admission/__init__.py
+++ b/hornbeamdeal/admission/__init__.py
@@ -1,1 +1,45 @@
-"""Admission of entry hosts."""
+"""Admission of entry hosts: which request starts where, waits or is refused."""
+
+from ._base import Admission, Decision, RefusalReason, Refuse, Start, Ticket
+from ._baselines import LeastLoadedAdmission, RandomAdmission, RoundRobinAdmission
+from ._callers import CallerShares
+from ._health import HealthState, ServerHealth, max_ejected
+from ._home import HomeSlots, HostPlace, deal_home_slots, long_slots_by_server
+from ._lane import Lane
+from ._limit import LearnedLimit
+from ._pool import PoolSettings, ServicePool
+from ._queue import FairQueue
+from ._returns import ReturnSchedule
+from ._server import ServerSlots
+from ._service_times import RunningMean, ServiceTimes
+from ._slot_shares import SlotShares
+
+__all__ = [
+    "Admission",
+    "CallerShares",
+    "Decision",
+    "FairQueue",
+    "HealthState",
+    "HomeSlots",
+    "HostPlace",
+    "Lane",
+    "LearnedLimit",
+    "LeastLoadedAdmission",
+    "PoolSettings",
+    "RandomAdmission",
+    "RefusalReason",
+    "Refuse",
+    "ReturnSchedule",
+    "RoundRobinAdmission",
+    "RunningMean",
+    "ServerHealth",
+    "ServerSlots",
+    "ServicePool",
+    "ServiceTimes",
+    "SlotShares",
+    "Start",
+    "Ticket",
+    "deal_home_slots",
+    "long_slots_by_server",
+    "max_ejected",
+]
--- /dev/null
+++ b/hornbeamdeal/admission/_server.py
@@ -0,0 +1,137 @@
+"""One host's account of one backend server."""
+
+import math
+
+from hornbeamdeal.kernel import BackendServer, Outcome, ServerAnswer, ServerState
+
+from ._health import HealthState, ServerHealth
+from ._home import HomeSlots
+from ._limit import LearnedLimit
+
+REPORT_AGEING = 0.5  # seconds in which a load report loses most of its weight
+FULL = 0.9  # aged load above which a server counts as full
+HOME_MAX_RECOVERY = 0.16  # seconds per slot; an owner is not kept out for long
+FOREIGN_MAX_RECOVERY = 1.28  # seconds per slot
+
+
+class ServerSlots:
+    """Requests of this host at a server, and what the host believes of it."""
+
+    __slots__ = (
+        "_load",
+        "_reported_at",
+        "_slow_since",
+        "health",
+        "home",
+        "limit",
+        "long_running",
+        "running",
+        "server",
+        "slow_start",
+    )
+
+    def __init__(self, server: BackendServer, slow_start: float):
+        self.server = server
+        self.slow_start = slow_start
+        self.home = HomeSlots()
+        self.limit = LearnedLimit(server.slots, FOREIGN_MAX_RECOVERY)
+        self.health = ServerHealth()
+        self.running = 0
+        self.long_running = 0
+        self._load = 0.0
+        self._reported_at = -math.inf
+        self._slow_since = -math.inf
+
+    def update(self, server: BackendServer, home: HomeSlots, now: float) -> None:
+        """Take the server's new record and the home slots on it."""
+        returned = self.server.state is not ServerState.ACTIVE
+        if returned and server.state is ServerState.ACTIVE:
+            self.begin_slow_start(now)
+        self.server = server
+        self.home = home
+        self.limit.resize(server.slots)
+        owned = bool(home.indices)
+        self.limit.max_recovery = HOME_MAX_RECOVERY if owned else FOREIGN_MAX_RECOVERY
+
+    def begin_slow_start(self, now: float) -> None:
+        """Open the slots one after another from now on."""
+        self._slow_since = now
+
+    def is_usable(self) -> bool:
+        """Tell whether the server may get any new work."""
+        if self.server.state is not ServerState.ACTIVE or self.server.slots < 1:
+            return False
+        return self.health.state is not HealthState.EJECTED
+
+    def has_home_slot(self, long: bool, now: float) -> bool:
+        """Tell whether an own slot is free for the kind of work."""
+        if not self._is_open(long, now):
+            return False
+        if long and self.long_running >= self.home.long:
+            return False
+        return self.running < self._open_home_slots(now)
+
+    def can_lend(self, long: bool, now: float) -> bool:
+        """Tell whether a slot of another host, or an unowned one, may be tried."""
+        if not self._is_open(long, now) or self._ramp(now) < 1.0:
+            return False
+        if long and self.long_running >= max(1, self.server.slots - 1):
+            return False
+        return self.aged_load(now) < FULL
+
+    def score(self, now: float) -> float:
+        """Return the believed load: own work plus the aged report."""
+        return self.running / self.server.slots + self.aged_load(now)
+
+    def aged_load(self, now: float) -> float:
+        """Return the last reported load, weakened by its age."""
+        return self._load * math.exp((self._reported_at - now) / REPORT_AGEING)
+
+    def start(self, long: bool) -> None:
+        """Count a request that is sent."""
+        self.running += 1
+        self.long_running += long
+
+    def finish(self, long: bool) -> None:
+        """Count a request that ended or was withdrawn."""
+        self.running -= 1
+        self.long_running -= long
+
+    def learn(self, answer: ServerAnswer, now: float) -> None:
+        """Learn from the end of a request."""
+        if answer.load is not None:
+            self._report(answer.load, now)
+        if answer.outcome is Outcome.REFUSED:
+            self._report(1.0, now)
+            self.limit.record_refusal(self.running, now)
+        elif answer.outcome is Outcome.ANSWERED:
+            self.limit.record_success()
+            self._record_result(False, now)
+        elif answer.outcome in (Outcome.FAILED, Outcome.TIMED_OUT):
+            self._record_result(True, now)
+
+    def _record_result(self, failed: bool, now: float) -> None:
+        if self.health.record(failed, now):
+            self.begin_slow_start(now)
+
+    def _report(self, load: float, now: float) -> None:
+        self._load = min(1.0, max(0.0, load))
+        self._reported_at = now
+
+    def _is_open(self, long: bool, now: float) -> bool:
+        if not self.is_usable() or not self.limit.allows(self.running, now):
+            return False
+        if self.health.state is HealthState.PROBING:
+            return self.running == 0 and not long
+        return True
+
+    def _ramp(self, now: float) -> float:
+        if self.slow_start <= 0:
+            return 1.0
+        return min(1.0, (now - self._slow_since) / self.slow_start)
+
+    def _open_home_slots(self, now: float) -> int:
+        # Slot numbers are the same on all hosts, so the hosts together open
+        # one slot of a new server first, although they do not see each other.
+        opened = max(1, math.ceil(self._ramp(now) * self.server.slots))
+        return sum(index < opened for index in self.home.indices)
