Add process-level failure scenarios

Cause: the promises need proof with real processes: kills, pauses, drains, loss and duplication, platform outages, bad input. Ruled out: mocks of the network, which would not show late wake-ups. Change: tests/daemon.

--- a/hornbeamdeal/load/_profiles.py
+++ b/hornbeamdeal/load/_profiles.py
@@ -43,7 +43,14 @@
 class LoadRun:
     """Runs profiles against service addresses and keeps the results."""
 
-    __slots__ = ("random_state", "random_", "reports", "watchers", "sequence_")
+    __slots__ = (
+        "random_state",
+        "random_",
+        "reports",
+        "watchers",
+        "sequence_",
+        "run_ids_by_code",
+    )
 
     def __init__(self, *, random_state: int = 0):
         self.random_state = random_state
@@ -51,6 +58,7 @@
         self.reports: list[PhaseReport] = []
         self.watchers: list[Watcher] = []
         self.sequence_ = 0
+        self.run_ids_by_code: dict[str, list[str]] = {}
 
     async def run_flows(self, address: Endpoint, profile: FlowProfile) -> None:
         """Open all flows over one refresh interval and keep them until cancelled."""
@@ -107,6 +115,7 @@
         if result.code == "CONTENT" and not result.payload.startswith(run_id.encode()):
             report.codes["FOREIGN_ANSWER"] += 1
         report.add(result)
+        self.run_ids_by_code.setdefault(result.code, []).append(run_id)
 
     def summary(self) -> dict:
         """Return all figures of the run."""
--- /dev/null
+++ b/tests/daemon/failures.feature
@@ -0,0 +1,76 @@
+@processes
+Feature: an environment of real processes under failures
+
+  Scenario: hosts are killed and paused while bookings arrive
+    Guards against doubled bookings, false "not run" answers, foreign answers
+    and broken flows when a host dies and another wakes late with old facts.
+    Given the environment of Arequipa runs
+    When bookings, rides and flows are offered while a host is killed and another is paused
+    Then no booking ran twice
+    And no booking refused as not run did run
+    And no caller got another caller's answer
+    And no flow is broken
+    And at least 95% of the offered rides were answered
+
+  Scenario: a backend server drains while a host is killed
+    Guards against new work on a leaving server and against broken flows when
+    both changes meet.
+    Given the environment of Arequipa runs
+    When a server drains and a host is killed while load is offered
+    Then the version is in force on all hosts within 3 seconds
+    And the draining server starts nothing new after 3 seconds
+    And no flow is broken
+    And no booking ran twice
+
+  Scenario: the same failure strikes twice
+    Guards against recovery that works only once.
+    Given the environment of Arequipa runs
+    When two hosts are killed one after the other while load is offered
+    Then no flow is broken
+    And no booking ran twice
+    And no booking refused as not run did run
+
+  Scenario: a planned stop cuts off nothing
+    Guards against requests in flight that end with their host.
+    Given the environment of Arequipa runs
+    When a host is stopped as planned while load is offered
+    Then the stopped host ended by itself
+    And every booking got a final answer
+    And no flow is broken
+
+  Scenario: the fabric loses and doubles packets
+    Guards against doubled runs by redelivery.
+    Given the environment of Arequipa runs
+    And the fabric loses 5% and doubles 20% of the packets
+    When bookings, rides and flows are offered for a while
+    Then no booking ran twice
+    And no booking refused as not run did run
+    And no caller got another caller's answer
+    And no flow is broken
+
+  Scenario: the platform is down, then stale
+    Guards against reverting to an old document.
+    Given the environment of Arequipa runs
+    When version 2 is published and in force
+    And the platform answers as before version 2
+    And a host joins and another is killed
+    Then version 2 stays in force on all hosts
+    When the platform is down while version 3 is published
+    Then version 2 stays in force on all hosts
+    When the platform is up again with version 3
+    Then version 3 is in force on all hosts within 4 seconds
+
+  Scenario: bad input of every kind harms nothing else
+    Guards against a stranger who steers flows, publishes versions or stops a host.
+    Given the environment of Arequipa runs
+    When garbage is sent to every port of a host
+    And a faulty document is published
+    Then the garbage is counted
+    And version 1 stays in force on all hosts
+    And bookings are answered
+
+  Scenario: operators read what is in force
+    Given the environment of Arequipa runs
+    Then ctl status shows version 1 on all hosts
+    And ctl explain names a server for a flow
+    And ctl promoted confirms the same digest on two sets of hosts
--- /dev/null
+++ b/tests/steps/daemon_steps.py
@@ -0,0 +1,351 @@
+"""Steps for environments of real processes."""
+
+import json
+import socket
+import subprocess
+import tempfile
+import time
+from pathlib import Path
+
+import trio
+from behave import given, then, when
+
+from demo._arequipa import make_document, make_layout
+from hornbeamdeal.load import FlowProfile, LoadRun, RequestProfile
+from hornbeamdeal.standins.environment import (
+    ADMIN_PORT,
+    FABRIC_PORT,
+    PEER_PORT,
+    SERVER_PORT,
+    LocalEnvironment,
+    tool_path,
+)
+
+LOAD_SECONDS = 9.0
+SETTLE_SECONDS = 3.5
+DRAINED = "reservas-2"
+FINAL_CODES = {"CONTENT", "SERVICE_UNAVAILABLE", "GATEWAY_TIMEOUT", "BAD_GATEWAY"}
+
+
+@given("the environment of Arequipa runs")
+def given_environment(context):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.environment = LocalEnvironment(
+        layout=make_layout(), folder=Path(folder.name)
+    )
+    # Registered before the start, so that a failed start ends its processes.
+    context.add_cleanup(context.environment.__exit__)
+    context.environment.__enter__()
+
+
+@given("the fabric loses {loss:d}% and doubles {doubled:d}% of the packets")
+def given_bad_fabric(context, loss, doubled):
+    context.environment.control_fabric(loss=loss / 100, duplicate=doubled / 100)
+
+
+async def offer_load(context, change):
+    """Offer bookings, rides and flows while `change` runs in a thread."""
+    environment = context.environment
+    address = environment.address("reservas-requests")
+    bookings = RequestProfile("POST", "/bookings", (60.0,), LOAD_SECONDS, 12.0)
+    rides = RequestProfile("GET", "/rides", (60.0,), LOAD_SECONDS, 12.0)
+    flows = FlowProfile("/map", 105, 1.5)
+    context.bookings = LoadRun(random_state=11)
+    context.rides = LoadRun(random_state=12)
+    context.flows = LoadRun(random_state=13)
+    async with trio.open_nursery() as watching:
+        watching.start_soon(
+            context.flows.run_flows, environment.address("reservas-map"), flows
+        )
+        async with trio.open_nursery() as offering:
+            offering.start_soon(context.bookings.run_requests, address, bookings)
+            offering.start_soon(context.rides.run_requests, address, rides)
+            await trio.sleep(2.0)
+            await trio.to_thread.run_sync(change)
+        await trio.sleep(SETTLE_SECONDS)
+        watching.cancel_scope.cancel()
+
+
+def kill_host(environment, host_id):
+    """Kill a host; the fabric learns of it half a second later."""
+    environment.kill_host(host_id)
+    time.sleep(0.5)
+    environment.use_hosts(environment.live_hosts())
+
+
+@when(
+    "bookings, rides and flows are offered while a host is killed and another is paused"
+)
+def when_killed_and_paused(context):
+    def change():
+        environment = context.environment
+        environment.pause_host("aqp-cercado-entry-2")
+        kill_host(environment, "aqp-cayma-entry-1")
+        time.sleep(2.0)
+        environment.resume_host("aqp-cercado-entry-2")
+
+    trio.run(offer_load, context, change)
+
+
+@when("a server drains and a host is killed while load is offered")
+def when_drain_and_kill(context):
+    def change():
+        environment = context.environment
+        environment.publish_document(make_document(2, {DRAINED: "draining"}))
+        published_at = time.monotonic()
+        kill_host(environment, "aqp-cercado-entry-1")
+        environment.wait_version(2, environment.live_hosts())
+        context.seconds_to_force = time.monotonic() - published_at
+        time.sleep(max(0.0, 3.0 - context.seconds_to_force))
+        context.started_before = count_started(environment)
+
+    trio.run(offer_load, context, change)
+    context.started_after = count_started(context.environment)
+
+
+@when("two hosts are killed one after the other while load is offered")
+def when_killed_twice(context):
+    def change():
+        kill_host(context.environment, "aqp-cayma-entry-1")
+        time.sleep(1.0)
+        kill_host(context.environment, "aqp-yanahuara-entry-1")
+
+    trio.run(offer_load, context, change)
+
+
+@when("a host is stopped as planned while load is offered")
+def when_stopped(context):
+    def change():
+        context.exit_code = context.environment.stop_host("aqp-yanahuara-entry-2")
+
+    trio.run(offer_load, context, change)
+
+
+@when("bookings, rides and flows are offered for a while")
+def when_offered(context):
+    trio.run(offer_load, context, lambda: None)
+
+
+@when("version {number:d} is published and in force")
+def when_published(context, number):
+    environment = context.environment
+    environment.control_platform(stale=False)
+    environment.publish_document(make_document(number))
+    environment.wait_version(number, environment.live_hosts())
+
+
+@when("the platform answers as before version 2")
+def when_stale(context):
+    environment = context.environment
+    environment.publish_document(make_document(1))
+    environment.control_platform(stale=True)
+
+
+@when("a host joins and another is killed")
+def when_joins(context):
+    environment = context.environment
+    environment.add_host("aqp-cayma-entry-8", "aqp-cayma")
+    kill_host(environment, "aqp-cayma-entry-1")
+
+
+@when("the platform is down while version 3 is published")
+def when_down(context):
+    context.environment.control_platform(down=True, stale=False)
+    context.environment.publish_document(make_document(3))
+    time.sleep(2.0)
+
+
+@when("the platform is up again with version 3")
+def when_up(context):
+    context.environment.control_platform(down=False)
+
+
+@when("garbage is sent to every port of a host")
+def when_garbage(context):
+    ip = context.environment.hosts_by_id_["aqp-cercado-entry-1"]["ip"]
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
+        for port in (FABRIC_PORT, SERVER_PORT, PEER_PORT):
+            for data in (b"", b"x", b"\xff" * 40, b"\r\n\r\n\0\r\nQUIT\n!\x12\xff\xff"):
+                udp.sendto(data, (ip, port))
+    for port in (PEER_PORT, ADMIN_PORT):
+        with socket.create_connection((ip, port), timeout=2) as tcp:
+            tcp.sendall(b"\xff\xff\xff\xff garbage\r\n\r\n")
+
+
+@when("a faulty document is published")
+def when_faulty(context):
+    text = make_document(9).replace("weight", "wieght")
+    environment = context.environment
+    publish_unchecked(environment, text.encode(), 9)
+    time.sleep(2.0)
+
+
+def publish_unchecked(environment, content, number):
+    """Publish a document as a tool without checks would."""
+    from hornbeamdeal.document import cut, digest_of, manifest_of
+    from hornbeamdeal.kernel import Version
+
+    segments = cut(content)
+    for segment in segments:
+        key = f"document/segments/{segment.digest.hex()}"
+        environment._publish(key, segment.content)
+    manifest = manifest_of(Version(number, digest_of(content)), segments)
+    environment._publish("document/manifest", manifest.encode())
+
+
+def count_started(environment):
+    """Return what the draining server has started: requests and flows."""
+    counts = environment.control_server(DRAINED)["counts"]
+    return counts.get("started", 0) + counts.get("flows_opened", 0)
+
+
+def server_reports(context):
+    environment = context.environment
+    return [
+        environment.control_server(name, run_ids=True)
+        for name in environment.targets_by_name_
+    ]
+
+
+@then("no booking ran twice")
+def then_once(context):
+    runs = {}
+    for report in server_reports(context):
+        assert not report["doubled"] or all(
+            run.startswith("12-") for run in report["doubled"]
+        ), report["doubled"]
+        for run_id in report["run_ids"]:
+            runs.setdefault(run_id, []).append(report["server"])
+    doubled = {
+        run: servers
+        for run, servers in runs.items()
+        if run.startswith("11-") and len(servers) > 1
+    }
+    assert not doubled, doubled
+
+
+@then("no booking refused as not run did run")
+def then_not_run(context):
+    ran = {run for report in server_reports(context) for run in report["run_ids"]}
+    refused = set(context.bookings.run_ids_by_code.get("SERVICE_UNAVAILABLE", []))
+    assert not ran & refused, ran & refused
+
+
+@then("no caller got another caller's answer")
+def then_own_answers(context):
+    for load in (context.bookings, context.rides):
+        for report in load.reports:
+            assert report.codes["FOREIGN_ANSWER"] == 0, report.codes
+
+
+@then("no flow is broken")
+def then_flows(context):
+    flows = context.flows.summary()["flows"]
+    assert flows["answered"] == flows["flows"], flows
+    assert flows["broken"] == 0, flows
+    for report in server_reports(context):
+        assert report["counts"].get("unknown_flow", 0) == 0, report
+
+
+@then("at least {percent:d}% of the offered rides were answered")
+def then_answered(context, percent):
+    (report,) = context.rides.reports
+    assert report.codes["CONTENT"] >= report.offered * percent / 100, report.codes
+
+
+@then("the version is in force on all hosts within {seconds:d} seconds")
+def then_in_force(context, seconds):
+    assert context.seconds_to_force <= seconds, context.seconds_to_force
+
+
+@then("the draining server starts nothing new after 3 seconds")
+def then_drained(context):
+    assert context.started_after == context.started_before
+
+
+@then("the stopped host ended by itself")
+def then_exit(context):
+    assert context.exit_code == 0, context.exit_code
+
+
+@then("every booking got a final answer")
+def then_final(context):
+    codes = set(context.bookings.run_ids_by_code)
+    assert codes <= FINAL_CODES, codes
+
+
+@then("version {number:d} stays in force on all hosts")
+def then_stays(context, number):
+    environment = context.environment
+    for _ in range(10):
+        for host_id in environment.live_hosts():
+            status = environment.status(host_id)
+            assert status["version_number"] == number, status
+        time.sleep(0.1)
+
+
+@then("version {number:d} is in force on all hosts within {seconds:d} seconds")
+def then_version(context, number, seconds):
+    environment = context.environment
+    took = environment.wait_version(number, environment.live_hosts())
+    assert took <= seconds, took
+
+
+@then("the garbage is counted")
+def then_counted(context):
+    metrics = context.environment.read_page("aqp-cercado-entry-1", "/metrics")[1]
+    for reason in ("fabric_no_proxy_header", "server_bad_coap", "peer_unknown_key"):
+        assert f'reason="{reason}"'.encode() in metrics, metrics.decode()
+
+
+@then("bookings are answered")
+def then_bookings(context):
+    trio.run(offer_load, context, lambda: None)
+    (report,) = context.bookings.reports
+    assert report.codes["CONTENT"] >= report.offered * 0.95, report.codes
+
+
+def run_ctl(*arguments):
+    result = subprocess.run(
+        [str(tool_path("hornbeamdeal-ctl")), *arguments, "--json"],
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    return result.returncode, json.loads(result.stdout)
+
+
+def admin_endpoints(environment):
+    hosts = environment.hosts_by_id_.values()
+    return [f"{host['ip']}:{ADMIN_PORT}" for host in hosts]
+
+
+@then("ctl status shows version 1 on all hosts")
+def then_ctl_status(context):
+    endpoints = admin_endpoints(context.environment)
+    code, shown = run_ctl("status", "--hosts", ",".join(endpoints))
+    assert code == 0, shown
+    assert json.dumps(shown).count("aqp-") >= 7, shown
+
+
+@then("ctl explain names a server for a flow")
+def then_ctl_explain(context):
+    environment = context.environment
+    endpoints = admin_endpoints(environment)
+    address = str(environment.address("reservas-map"))
+    code, shown = run_ctl(
+        "explain",
+        f"--host={endpoints[0]}",
+        f"--address={address}",
+        "--caller=127.0.0.1:4000",
+    )
+    assert code == 0, shown
+    assert "reservas" in json.dumps(shown), shown
+
+
+@then("ctl promoted confirms the same digest on two sets of hosts")
+def then_ctl_promoted(context):
+    endpoints = admin_endpoints(context.environment)
+    code, shown = run_ctl("promoted", ",".join(endpoints[:3]), ",".join(endpoints[3:]))
+    assert code == 0, shown
