--- a/hornbeamdeal/document/_hold_down.py
+++ b/hornbeamdeal/document/_hold_down.py
@@ -43,9 +43,18 @@
             return True
         return bool(self.held_until_) and now < self.held_until_.get(endpoint, now)
 
-    def require_check(self) -> None:
-        """Hold every address: the process was paused and its view may be old."""
+    def note_pause(self, seconds: float) -> None:
+        """Hold every address until the version is confirmed, after a pause.
+
+        Holds are extended by the pause: packets that waited in the socket may be
+        meant for the old service, and no time passed in which to drop them.
+        """
         self._unchecked = True
+        self.held_until_ = {e: t + seconds for e, t in self.held_until_.items()}
+        self._departed = {
+            endpoint: (service, left_at + seconds)
+            for endpoint, (service, left_at) in self._departed.items()
+        }
 
     def confirm_version(self) -> None:
         """End the hold after a pause: the view is known to be the newest."""
--- a/hornbeamdeal/document/_nodes.py
+++ b/hornbeamdeal/document/_nodes.py
@@ -44,7 +44,10 @@
     except yaml.MarkedYAMLError as error:
         mark = error.problem_mark or error.context_mark
         problem = ", ".join(filter(None, (error.context, error.problem)))
-        return Err(_syntax_fault(mark.line + 1 if mark else 1, problem))
+        # The end of the text, where an unclosed bracket shows up, is below it.
+        last_line = text.rstrip().count("\n") + 1
+        line = min(mark.line + 1, last_line) if mark else 1
+        return Err(_syntax_fault(line, problem))
     except yaml.reader.ReaderError as error:
         line = text.count("\n", 0, error.position or 0) + 1
         return Err(_syntax_fault(line, f"unreadable character, {error.reason}"))
