Test the operators' command line against stand-in admin ports

Cause: exit codes and lists of hosts in trouble are what operators' scripts use. Ruled out: subprocesses for each command (start-up time; main() is the same). Conclusion: promotion is checked byte for byte from the packed files.

--- /dev/null
+++ b/tests/ctl/ctl.feature
@@ -0,0 +1,76 @@
+Feature: operators' command line
+
+  Scenario: a fault is printed with its line and remedy
+    Given a ctl document "a.yaml" with version 1 and weight 0
+    When ctl runs "check a.yaml"
+    Then ctl exits with 1 and prints "a.yaml:7: ctl.targets.t.weight is 0; use a number above 0"
+
+  Scenario: a document that cannot be read is a fault
+    When ctl runs "check missing.yaml"
+    Then ctl exits with 1 and prints "No such file"
+
+  Scenario: a change that breaks something fails the check against the old document
+    Guards against a version that every host would ignore.
+    Given a ctl document "a.yaml" with version 2 and weight 1
+    And a ctl document "b.yaml" with version 2 and weight 3
+    When ctl runs "check b.yaml"
+    Then ctl exits with 0 and prints "version 2, digest"
+    When ctl runs "check b.yaml --against a.yaml"
+    Then ctl exits with 1 and prints "set 'version: 3' or higher"
+
+  Scenario: differences are printed with the share of flows that move
+    Given a ctl document "a.yaml" with version 1 and weight 1
+    And a ctl document "b.yaml" with version 2 and weight 3
+    When ctl runs "diff a.yaml b.yaml"
+    Then ctl exits with 1 and prints "weight changed: t (from 1 to 3), moves about 25.0%"
+    When ctl runs "diff a.yaml a.yaml"
+    Then ctl exits with 0 and prints "no change"
+
+  Scenario: the packed files give the document byte for byte
+    Guards against a promotion that publishes anything but what was tried.
+    Given a ctl document "a.yaml" with version 1 and weight 1
+    When ctl runs "pack a.yaml --out trial"
+    And ctl runs "pack a.yaml --out production"
+    Then the ctl folders trial and production hold the bytes of "a.yaml"
+
+  Scenario: wrong usage has an exit code of its own
+    When ctl runs "check"
+    Then ctl exits with 2
+    When ctl runs "status --hosts ,"
+    Then ctl exits with 2
+
+  Scenario: a host that lags is listed with the time since when
+    Given ctl hosts one and two with versions 3 and 3
+    When ctl runs "status --hosts one,two"
+    Then ctl exits with 0 and prints "0 lagging, 0 unreachable"
+    Given ctl hosts one and two with versions 3 and 2
+    When ctl runs "status --hosts one,two"
+    Then ctl exits with 1 and prints "lags since 2026-05-04T03:00:00.000+00:00"
+    When ctl runs "status --hosts one,two --json"
+    Then ctl exits with 1 and prints JSON with host two lagging
+
+  Scenario Outline: a host without a usable answer is listed
+    Guards against a report that passes over a host in trouble.
+    Given ctl hosts one and two with versions 3 and 3
+    And the ctl host two <trouble>
+    When ctl runs "status --hosts one,two"
+    Then ctl exits with 3 and prints "0 lagging, 1 unreachable"
+
+    Examples:
+      | trouble          |
+      | is down          |
+      | answers nonsense |
+      | never answers    |
+
+  Scenario: a document counts as promoted when both environments have its digest
+    Given ctl hosts one and two with versions 3 and 3
+    When ctl runs "promoted one two"
+    Then ctl exits with 0 and prints "the same document is in force"
+    Given ctl hosts one and two with versions 3 and 4
+    When ctl runs "promoted one two"
+    Then ctl exits with 1 and prints "the documents differ"
+
+  Scenario: explain passes the host's reason on
+    Given ctl hosts one and two with versions 3 and 3
+    When ctl runs "explain --host one --address 10.0.0.1:5683 --caller 10.0.0.2:9"
+    Then ctl exits with 0 and prints "10.0.0.2:9 gets reservas-1 of 10.0.0.1:5683"
