--- a/hornbeamdeal/kernel/_values.py
+++ b/hornbeamdeal/kernel/_values.py
@@ -160,7 +160,8 @@
     """One datagram of a flow.
 
     `opens` is True or False where the protocol tells whether the datagram
-    opens a flow, and None where it does not.
+    opens a flow, and None where it does not. `relayed_by` is the peer that
+    relayed the datagram, empty where it came from the fabric.
     """
 
     caller: Endpoint
@@ -170,6 +171,7 @@
     flow_token: bytes = b""
     handle: bytes | None = None
     hops: int = 0
+    relayed_by: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/hornbeamdeal/steering/_ownership.py
@@ -0,0 +1,149 @@
+"""Which hosts keep the records of a flow key."""
+
+import math
+from dataclasses import dataclass
+
+import xxhash
+
+from hornbeamdeal.kernel import EntryHost, HostState, View
+
+from ._keys import KEY_BYTES
+
+# Owners are chosen for parts of the key space rather than for single keys, so
+# that a packet costs a lookup and not a hash for each of some 300 hosts.
+PARTITIONS = 4096
+_PARTITION_SHIFT = 64 - 12
+
+
+@dataclass(frozen=True, slots=True)
+class Holders:
+    """Owner and backup of a partition; empty where there is none."""
+
+    owner: str = ""
+    backup: str = ""
+
+    def others(self, own_id: str) -> list[str]:
+        """Return the holders other than this host."""
+        return [host for host in (self.owner, self.backup) if host not in ("", own_id)]
+
+
+class HostSet:
+    """Rendezvous choice of holders over a fixed set of hosts."""
+
+    __slots__ = ("host_ids", "_seeds", "_holders_by_partition")
+
+    def __init__(self, host_ids: frozenset[str]):
+        self.host_ids = host_ids
+        self._seeds = [(h, xxhash.xxh3_64_intdigest(h.encode())) for h in sorted(host_ids)]
+        self._holders_by_partition: dict[int, Holders] = {}
+
+    def holders(self, key: int) -> Holders:
+        """Return owner and backup of a key."""
+        partition = key >> _PARTITION_SHIFT
+        holders = self._holders_by_partition.get(partition)
+        if holders is None:
+            holders = self._holders_by_partition[partition] = self._choose(partition)
+        return holders
+
+    def _choose(self, partition: int) -> Holders:
+        data = partition.to_bytes(KEY_BYTES, "little")
+        scores = [(xxhash.xxh3_64_intdigest(data, s), h) for h, s in self._seeds]
+        best = [host for _, host in sorted(scores, reverse=True)[:2]]
+        return Holders(*best)
+
+
+class Ownership:
+    """Holders of flow keys as the set of hosts changes.
+
+    `current` answers relays. `future` includes hosts that have joined in the
+    last `join_seconds`; they receive records but no relays until then. `previous`
+    held the records at the last complete hand-over; `arrivals` are hosts that
+    have not been sent all records since.
+    """
+
+    __slots__ = ("join_seconds", "own_id", "current", "future", "previous")
+    __slots__ += ("_hosts", "_joined_at", "_started_at", "arrivals")
+
+    def __init__(self, join_seconds: float):
+        self.join_seconds = join_seconds
+        self.own_id = ""
+        self.current = self.future = self.previous = HostSet(frozenset())
+        self._hosts: dict[str, EntryHost] = {}
+        self._joined_at: dict[str, float] = {}
+        self._started_at = 0.0
+        self.arrivals: set[str] = set()
+
+    def update(self, view: View, now: float) -> bool:
+        """Take a view; tell whether the set of future holders changed."""
+        if not self.own_id:
+            self._started_at = now
+        # A starting host learns its peers one by one; they were there before it.
+        is_starting = now - self._started_at < self.join_seconds
+        self.own_id = view.own_id
+        earlier, self._hosts = self._hosts, {h.host_id: h for h in view.live_hosts()}
+        live = frozenset(self._hosts)
+        restarted = {h for h in live if _is_restarted(earlier.get(h), self._hosts[h])}
+        for host_id in (self._joined_at.keys() - live) | restarted:
+            self._joined_at.pop(host_id, None)
+        for host_id in live - self._joined_at.keys():
+            was_there = is_starting and host_id != self.own_id
+            self._joined_at[host_id] = -math.inf if was_there else now
+        arrivals = live - self.future.host_ids | restarted
+        self.arrivals |= arrivals - {self.own_id}
+        changed = bool(arrivals) or live != self.future.host_ids
+        if changed:
+            self.future = HostSet(live)
+        self.promote(now)
+        return changed
+
+    def promote(self, now: float) -> None:
+        """Let hosts whose joining time has passed answer relays."""
+        latest = now - self.join_seconds
+        joined = [host for host, at in self._joined_at.items() if at <= latest]
+        host_ids = frozenset(joined) or self.future.host_ids
+        if host_ids == self.future.host_ids:
+            self.current = self.future
+        elif host_ids != self.current.host_ids:
+            self.current = HostSet(host_ids)
+
+    def handed_over(self) -> None:
+        """Take note that the future holders have all records of this host."""
+        self.previous = self.future
+        self.arrivals.clear()
+
+    def peers(self) -> list[EntryHost]:
+        """Return the other live hosts."""
+        return [h for h in self._hosts.values() if h.host_id != self.own_id]
+
+    def host(self, host_id: str) -> EntryHost | None:
+        """Return a live host."""
+        return self._hosts.get(host_id)
+
+    def reachable(self, key: int) -> str:
+        """Return the holder to relay to: the owner, or the backup of a suspect.
+
+        Empty where both are suspected.
+        """
+        holders = self.current.holders(key)
+        for host_id in (holders.owner, holders.backup):
+            host = self._hosts.get(host_id)
+            if host_id == self.own_id:
+                return host_id
+            if host is not None and host.state is HostState.ALIVE:
+                return host_id
+        return ""
+
+    def is_responsible(self, key: int) -> bool:
+        """Tell whether this host passes a record on to new holders.
+
+        That is a holder before the change, or any host where none of them is
+        left.
+        """
+        before = self.previous.holders(key)
+        if self.own_id in (before.owner, before.backup):
+            return True
+        return not any(host in self._hosts for host in before.others(""))
+
+
+def _is_restarted(earlier: EntryHost | None, host: EntryHost) -> bool:
+    return earlier is not None and earlier.incarnation != host.incarnation
--- /dev/null
+++ b/hornbeamdeal/steering/_packets.py
@@ -0,0 +1,223 @@
+"""The decision for each packet of the `tracked` plug-in."""
+
+from dataclasses import replace
+from random import Random
+from typing import Any
+
+from hornbeamdeal.kernel import (
+    BackendServer,
+    Count,
+    DropPacket,
+    FlowPacket,
+    ForwardPacket,
+    LogEvent,
+    PeerReceived,
+    RelayPacket,
+)
+
+from ._assignment import SmoothWeightedRoundRobin
+from ._handles import HandleCodec
+from ._keys import digest_of, flow_key, opening_key
+from ._pause import PauseBuffer
+from ._routes import Route
+from ._state import FlowState
+
+MAXIMUM_HOPS = 1
+OPAQUE = "opaque"
+
+
+class PacketPath:
+    """Steers packets by handle, record, owner or choice, in this order."""
+
+    __slots__ = ("state", "handles", "idle_seconds", "opening_seconds")
+    __slots__ += ("owned_seconds", "joining_until", "_pause", "_rotations", "_random")
+
+    def __init__(self, state, handles, **more):
+        self.state: FlowState = state
+        self.handles: HandleCodec = handles
+        self.idle_seconds: float = more["idle_seconds"]
+        self.opening_seconds: float = more["opening_seconds"]
+        # An owner's record is as old as the last refresh by the other hosts.
+        self.owned_seconds: float = more["owned_seconds"]
+        self.joining_until: float = more["joining_until"]
+        self._random: Random = more["random"]
+        self._pause = PauseBuffer()
+        self._rotations: dict[str, SmoothWeightedRoundRobin] = {}
+
+    def steer(self, packet: FlowPacket, now: float) -> list[Any]:
+        """Return what to do with a packet."""
+        routes = self.state.routes
+        route = routes.by_address.get(packet.address)
+        refusal = routes.refusal(route, now)
+        if refusal:
+            return [DropPacket(packet, refusal)]
+        if packet.handle is not None:
+            return [self._by_handle(packet, route)]
+        if self._pause.is_open():
+            if self._pause.hold(packet):
+                return []
+            count = Count("flow_packets_not_held", service=route.service)
+            return [count, *self._unhandled(packet, route, now)]
+        return self._unhandled(packet, route, now)
+
+    def pause(self, seconds: float, now: float) -> list[Any]:
+        """Hold packets without handles, as records and servers may be old."""
+        self.state.trusted_from = now
+        self._pause.open(now)
+        return [LogEvent("flow_packets_held", {"paused_seconds": seconds}, "warning")]
+
+    def hear(self, event: PeerReceived, now: float) -> list[Any]:
+        """Take a peer's version, which may end a wait after a pause."""
+        if not self._pause.is_open():
+            return []
+        self._pause.hear(event)
+        return self.release(now)
+
+    def release(self, now: float) -> list[Any]:
+        """Steer held packets if the wait after a pause is over."""
+        packets = self._pause.release(self.state.version_number, now)
+        return [action for packet in packets for action in self.steer(packet, now)]
+
+    def note_joined(self, now: float) -> None:
+        """Stop to ask owners for all unknown flows once peers have sent theirs."""
+        if now >= self.joining_until or not self.state.ownership.peers():
+            return
+        if self.state.settling.all_completed():
+            self.joining_until = now
+
+    def _unhandled(self, packet: FlowPacket, route: Route, now: float) -> list[Any]:
+        if route.codec == OPAQUE:
+            return self._opaque(packet, route, now)
+        if packet.opens:
+            return [self._opening(packet, route, now)]
+        # One-shot requests and stray acknowledgements belong to no flow.
+        return [_forward(packet, route.server_set.choose(flow_key(packet)))]
+
+    def _by_handle(self, packet: FlowPacket, route: Route) -> Any:
+        digest = self.handles.read(packet.handle, route.service, packet.flow_token)
+        if digest is None:
+            return DropPacket(packet, "bad_handle")
+        server = self.state.routes.servers_by_digest.get(digest)
+        if server is None:
+            # Another server does not know the flow; the caller opens it anew.
+            return DropPacket(packet, "server_gone")
+        return ForwardPacket(server, packet)
+
+    def _opening(self, packet: FlowPacket, route: Route, now: float) -> Any:
+        key = opening_key(packet)
+        if packet.hops < MAXIMUM_HOPS:
+            holder = self.state.ownership.reachable(key)
+            if not holder:
+                return _forward(packet, route.server_set.choose(key))
+            if holder != self.state.ownership.own_id:
+                return _relay(packet, holder)
+        return _forward(packet, self._assigned(key, route, now))
+
+    def _assigned(self, key: int, route: Route, now: float) -> BackendServer | None:
+        table = self.state.table
+        slot = table.find(key)
+        if slot >= 0 and table.age_at(slot, now) <= self.opening_seconds:
+            server = self.state.server_at(slot)
+            if server is not None and server.service == route.service:
+                return server
+        rotation = self._rotations.get(route.service)
+        if rotation is None:
+            rotation = SmoothWeightedRoundRobin(self._random)
+            self._rotations[route.service] = rotation
+        server = rotation.pick(route.server_set.servers)
+        if server is not None:
+            self.state.store(key, server, now)
+        return server
+
+    def _opaque(self, packet: FlowPacket, route: Route, now: float) -> list[Any]:
+        state, key = self.state, flow_key(packet)
+        slot = state.table.find(key)
+        server = self._recorded(slot, route)
+        is_relayed = packet.hops >= MAXIMUM_HOPS
+        if server is not None and self._is_usable(slot, key, is_relayed, now):
+            return [self._by_record(packet, key, slot, server, now)]
+        if not is_relayed:
+            holder = self._holder_to_ask(key, route, server, now)
+            if holder:
+                own_word = self._own_word(holder, key, slot, server, now)
+                return [*own_word, _relay(packet, holder)]
+        return [self._decided(packet, key, route, now)]
+
+    def _by_record(self, packet, key, slot, server: BackendServer, now: float) -> Any:
+        self.state.table.touch(slot, now)
+        if packet.relayed_by:
+            self._reply(packet, key, server)
+        return ForwardPacket(server, packet)
+
+    def _recorded(self, slot: int, route: Route) -> BackendServer | None:
+        if slot < 0:
+            return None
+        server = self.state.server_at(slot)
+        if server is None or server.service != route.service:
+            return None
+        return server
+
+    def _is_usable(self, slot: int, key: int, is_relayed: bool, now: float) -> bool:
+        """Tell whether a record counts here without asking its owner."""
+        state = self.state
+        age = state.table.age_at(slot, now)
+        if age <= self.idle_seconds and state.is_trusted(slot, now):
+            return True
+        is_last_word = is_relayed or self._decides(key)
+        return is_last_word and age <= self.owned_seconds
+
+    def _decides(self, key: int) -> bool:
+        ownership = self.state.ownership
+        return ownership.reachable(key) in ("", ownership.own_id)
+
+    def _holder_to_ask(
+        self, key: int, route: Route, server: BackendServer | None, now: float
+    ) -> str:
+        """Return the host whose record counts, empty where this one decides."""
+        state = self.state
+        is_unsure = (
+            now < self.joining_until
+            or state.settling.is_lagging()
+            or (server is not None and state.differs(server, key))
+            or state.histories_by_service[route.service].is_ambiguous(key)
+        )
+        if not is_unsure or self._decides(key):
+            return ""
+        return state.ownership.reachable(key)
+
+    def _own_word(self, holder, key, slot, server, now: float) -> list[Any]:
+        """Return the message of a record from before a pause.
+
+        It goes ahead of the packet, for the holder may have no record.
+        """
+        if server is None or self.state.table.age_at(slot, now) > self.idle_seconds:
+            return []
+        return self.state.send_record(holder, key, server)
+
+    def _decided(self, packet: FlowPacket, key: int, route: Route, now: float) -> Any:
+        state = self.state
+        history = state.histories_by_service[route.service]
+        server = state.settling.unknown_choice(history, key, now)
+        if server is None:
+            return DropPacket(packet, "no_server")
+        tracked = state.store(key, server, now)
+        # Until the change has settled the other holders might decide otherwise.
+        if tracked or (not history.is_settled() and history.is_ambiguous(key)):
+            state.replicate(key, server)
+        if packet.relayed_by:
+            self._reply(packet, key, server)
+        return ForwardPacket(server, packet)
+
+    def _reply(self, packet: FlowPacket, key: int, server: BackendServer) -> None:
+        """Tell the relaying host, so that it relays a flow only once."""
+        self.state.replies.add(packet.relayed_by, key, digest_of(server))
+
+
+def _forward(packet: FlowPacket, server: BackendServer | None) -> Any:
+    if server is None:
+        return DropPacket(packet, "no_server")
+    return ForwardPacket(server, packet)
+
+
+def _relay(packet: FlowPacket, host_id: str) -> RelayPacket:
+    return RelayPacket(host_id, replace(packet, hops=packet.hops + 1))
--- /dev/null
+++ b/hornbeamdeal/steering/_routes.py
@@ -0,0 +1,93 @@
+"""What a view says about service addresses, indexed for packets."""
+
+from dataclasses import dataclass
+
+import xxhash
+
+from hornbeamdeal.kernel import AddressKind, BackendServer, Endpoint, View
+
+from ._choice import ServerSet
+from ._keys import digest_of
+
+# More than the 3 s in which a document is in force on all hosts, so that no
+# host still sends the address's packets to the earlier service.
+HOLD_DOWN_SECONDS = 5.0
+
+
+@dataclass(slots=True)
+class Route:
+    """Where an address's packets may go."""
+
+    service: str
+    codec: str
+    server_set: ServerSet
+    held_until: float = 0.0
+
+
+class Routes:
+    """Routes by address and servers by digest of the latest view."""
+
+    __slots__ = ("by_address", "sets_by_service", "servers_by_digest", "digest", "view")
+
+    def __init__(self):
+        self.by_address: dict[Endpoint, Route] = {}
+        self.sets_by_service: dict[str, ServerSet] = {}
+        self.servers_by_digest: dict[int, BackendServer] = {}
+        self.digest = b""
+        self.view: View | None = None
+
+    def update(self, view: View, now: float) -> bool:
+        """Take a view; tell whether servers or addresses changed."""
+        old, self.view = self.view, view
+        if old is not None and _same_servers(old, view):
+            return False
+        self._index_servers(view)
+        self._index_addresses(view, now)
+        return True
+
+    def _index_servers(self, view: View) -> None:
+        servers = sorted(view.servers_by_id.values(), key=lambda s: s.server_id)
+        self.servers_by_digest = {digest_of(s): s for s in servers}
+        servers_by_service: dict[str, list[BackendServer]] = {}
+        for server in servers:
+            servers_by_service.setdefault(server.service, []).append(server)
+        for address in view.addresses_by_endpoint.values():
+            servers_by_service.setdefault(address.service, [])
+        self.sets_by_service = {
+            service: ServerSet(members)
+            for service, members in servers_by_service.items()
+        }
+        text = repr([(s.server_id, s.service, s.weight, s.state) for s in servers])
+        self.digest = xxhash.xxh3_64_digest(text.encode())
+
+    def _index_addresses(self, view: View, now: float) -> None:
+        earlier, self.by_address = self.by_address, {}
+        for endpoint, address in view.addresses_by_endpoint.items():
+            if address.kind is not AddressKind.FLOWS:
+                continue
+            server_set = self.sets_by_service[address.service]
+            route = Route(address.service, address.codec, server_set)
+            known = earlier.get(endpoint)
+            if known is not None:
+                moved = known.service != address.service
+                held_until = now + HOLD_DOWN_SECONDS if moved else known.held_until
+                route.held_until = held_until
+            self.by_address[endpoint] = route
+
+    def refusal(self, route: Route | None, now: float) -> str:
+        """Return why a packet of the route is dropped, empty where it is not."""
+        if route is None:
+            return "unknown_address"
+        if now < route.held_until:
+            return "hold_down"
+        return ""
+
+
+def _same_servers(old: View, new: View) -> bool:
+    same_servers = old.servers_by_id is new.servers_by_id or (
+        old.servers_by_id == new.servers_by_id
+    )
+    same_addresses = old.addresses_by_endpoint is new.addresses_by_endpoint or (
+        old.addresses_by_endpoint == new.addresses_by_endpoint
+    )
+    return same_servers and same_addresses
--- /dev/null
+++ b/hornbeamdeal/steering/_scan.py
@@ -0,0 +1,161 @@
+"""Walks the flow table in slices and hands records to their holders."""
+
+from typing import Any
+
+from ._keys import is_opening_key
+from ._ownership import HostSet
+from ._state import FlowState
+from ._table import TableEntry
+
+# A slice takes up to about 15 ms, and a table of 262,144 slots two slices.
+SLOTS_PER_TICK = 1 << 17
+FLOWS_PER_TICK = 4096
+
+
+class Scan:
+    """Hands over records after a change, refreshes and expires them otherwise.
+
+    `idle_seconds` is how long after its last packet a flow counts as open,
+    `record_seconds` how long a record is kept at all, so that the host still asks
+    the owner for a flow that has not come by for long.
+    """
+
+    __slots__ = ("idle_seconds", "refresh_seconds", "opening_seconds")
+    __slots__ += ("record_seconds", "_state", "_position", "_is_running")
+    __slots__ += ("_started_at", "_refreshed_from", "_hosts_changed")
+
+    def __init__(self, state, idle_seconds, refresh_seconds, opening_seconds, **more):
+        self.idle_seconds: float = idle_seconds
+        self.refresh_seconds: float = refresh_seconds
+        self.opening_seconds: float = opening_seconds
+        self.record_seconds: float = more["record_seconds"]
+        self._state: FlowState = state
+        self._position = 0
+        self._is_running = False
+        self._started_at = 0.0
+        self._refreshed_from = 0.0
+        self._hosts_changed = False
+
+    def restart(self, hosts_changed: bool, now: float) -> None:
+        """Start from the beginning because servers or hosts changed."""
+        self._hosts_changed |= hosts_changed
+        self._position = 0
+        self._is_running = True
+        self._started_at = now
+
+    def advance(self, now: float) -> list[Any]:
+        """Visit the next slice; return what ends the hand-over."""
+        if not self._is_running:
+            if now - self._started_at < self.refresh_seconds:
+                return []
+            self.restart(False, now)
+        if self._position < len(self._state.table):
+            self._visit_slice(now)
+        is_done = self._position >= len(self._state.table)
+        if not is_done or not self._state.outbox.is_empty():
+            return []
+        self._finish()
+        return self._state.completions()
+
+    def hand_over_all(self, now: float) -> list[Any]:
+        """Return all own records for the holders that follow this host."""
+        state = self._state
+        own_id = state.ownership.own_id
+        followers = HostSet(state.ownership.future.host_ids - {own_id})
+        for slot in state.table.occupied(0, len(state.table)):
+            entry = state.table.entry(slot, now)
+            if not self._is_handed_over(entry):
+                continue
+            for host_id in followers.holders(entry.key).others(own_id):
+                state.outbox.add(host_id, entry.key, entry.digest)
+        number, digest = state.version_number, state.routes.digest
+        return state.outbox.send_all(state.ownership, number, digest)
+
+    def _is_handed_over(self, entry: TableEntry) -> bool:
+        if is_opening_key(entry.key):
+            return entry.age <= self.opening_seconds
+        server = self._state.routes.servers_by_digest.get(entry.digest)
+        if server is None or entry.age > self.idle_seconds + self.refresh_seconds:
+            return False
+        if server.service in self._state.changed_services:
+            return self._state.differs(server, entry.key)
+        return entry.tracked
+
+    def _finish(self) -> None:
+        self._is_running = False
+        self._hosts_changed = False
+        self._refreshed_from = self._started_at
+        self._state.changed_services.clear()
+        self._state.ownership.handed_over()
+
+    def _visit_slice(self, now: float) -> None:
+        stop = self._position + SLOTS_PER_TICK
+        slots = self._state.table.occupied(self._position, stop)
+        for visited, slot in enumerate(slots):
+            if visited == FLOWS_PER_TICK:
+                self._position = slot
+                return
+            self._visit(self._state.table.entry(slot, now), now)
+        self._position = stop
+
+    def _visit(self, entry: TableEntry, now: float) -> None:
+        state = self._state
+        if self._is_expired(entry):
+            state.table.remove(entry.slot)
+            return
+        if is_opening_key(entry.key):
+            recipients = self._new_holders(entry.key)
+        else:
+            recipients = self._recipients_of_flow(entry, now)
+        for host_id in recipients:
+            state.outbox.add(host_id, entry.key, entry.digest)
+
+    def _is_expired(self, entry: TableEntry) -> bool:
+        if is_opening_key(entry.key):
+            return entry.age > self.opening_seconds
+        is_gone = entry.digest not in self._state.routes.servers_by_digest
+        return is_gone or entry.age > self.record_seconds
+
+    def _recipients_of_flow(self, entry: TableEntry, now: float) -> set[str]:
+        state = self._state
+        server = state.routes.servers_by_digest[entry.digest]
+        tracked, is_changed = entry.tracked, server.service in state.changed_services
+        if is_changed:
+            tracked = state.differs(server, entry.key)
+            state.table.set_tracked(entry.slot, tracked)
+        if not tracked or entry.age > self.idle_seconds + self.refresh_seconds:
+            return set()
+        recipients = self._new_holders(entry.key) | self._arrivals(entry.key)
+        if is_changed or now - entry.age >= self._refreshed_from:
+            recipients |= self._next_holder(entry.key, is_changed)
+        return recipients
+
+    def _next_holder(self, key: int, is_changed: bool) -> set[str]:
+        """Return the owner, or the owner's backup.
+
+        The backup does not refresh the owner's record: it cannot tell packets
+        from the owner's own refreshes, and both would keep the record for ever.
+        """
+        own_id = self._state.ownership.own_id
+        holders = self._state.ownership.future.holders(key)
+        if own_id == holders.owner:
+            return {holders.backup} - {""}
+        if own_id == holders.backup and not is_changed:
+            return set()
+        return {holders.owner} - {""}
+
+    def _new_holders(self, key: int) -> set[str]:
+        ownership = self._state.ownership
+        if not self._hosts_changed or not ownership.is_responsible(key):
+            return set()
+        before = ownership.previous.holders(key)
+        after = ownership.future.holders(key)
+        return set(after.others(ownership.own_id)) - set(before.others(""))
+
+    def _arrivals(self, key: int) -> set[str]:
+        ownership = self._state.ownership
+        if ownership.arrivals and (
+            ownership.current.holders(key).owner == ownership.own_id
+        ):
+            return ownership.arrivals
+        return set()
--- /dev/null
+++ b/hornbeamdeal/steering/_state.py
@@ -0,0 +1,158 @@
+"""What a host knows of flows whose server may differ from the choice."""
+
+from typing import Any
+
+from hornbeamdeal.kernel import (
+    BackendServer,
+    Count,
+    PeerReceived,
+    SendPeer,
+    View,
+)
+
+from ._handover import Outbox, make_message
+from ._history import ServiceHistory
+from ._keys import digest_of, is_opening_key, to_unsigned
+from ._ownership import Ownership
+from ._routes import Routes
+from ._settling import Completion, Settling
+from ._table import FlowTable
+
+
+class FlowState:
+    """Flow records, holders and histories of one host."""
+
+    __slots__ = ("routes", "ownership", "settling", "table", "outbox", "replies")
+    __slots__ += ("histories_by_service", "changed_services", "trusted_from")
+    __slots__ += ("version_number", "conflicts", "lost_records")
+
+    def __init__(self, routes, ownership, settling, table, outbox, replies):
+        self.routes: Routes = routes
+        self.ownership: Ownership = ownership
+        self.settling: Settling = settling
+        self.table: FlowTable = table
+        # Hand-overs end when the outbox is empty, so that records of single
+        # packets have a queue and a budget of their own.
+        self.outbox: Outbox = outbox
+        self.replies: Outbox = replies
+        self.histories_by_service: dict[str, ServiceHistory] = {}
+        # Services whose choices changed since the last complete scan.
+        self.changed_services: set[str] = set()
+        # Entries last seen before this time predate a pause of this process.
+        self.trusted_from = float("-inf")
+        self.version_number = 0
+        self.conflicts = 0
+        self.lost_records = 0
+
+    def update(self, view: View, now: float) -> bool:
+        """Take a view; tell whether records have to be handed over."""
+        number = view.version.number if view.version else 0
+        changed = number != self.version_number
+        self.version_number = number
+        if self.routes.update(view, now):
+            changed = True
+            self._update_histories(now)
+        self.settling.update(view, now)
+        return self.ownership.update(view, now) or changed
+
+    def _update_histories(self, now: float) -> None:
+        sets_by_service = self.routes.sets_by_service
+        for service in self.histories_by_service.keys() - sets_by_service.keys():
+            del self.histories_by_service[service]
+        for service, server_set in sets_by_service.items():
+            history = self.histories_by_service.get(service)
+            if history is None:
+                self.histories_by_service[service] = ServiceHistory(server_set)
+            elif history.change(server_set, now):
+                self.changed_services.add(service)
+
+    def server_at(self, slot: int) -> BackendServer | None:
+        """Return the server of a record, None where the view lacks it."""
+        return self.routes.servers_by_digest.get(self.table.digest_at(slot))
+
+    def differs(self, server: BackendServer, key: int) -> bool:
+        """Tell whether a flow's server is not the current choice of its key."""
+        server_set = self.routes.sets_by_service.get(server.service)
+        return server_set is None or server_set.choose_id(key) != server.server_id
+
+    def is_trusted(self, slot: int, now: float) -> bool:
+        """Tell whether a record was seen since the last pause of this process."""
+        return now - self.table.age_at(slot, now) >= self.trusted_from
+
+    def store(self, key: int, server: BackendServer, now: float) -> bool:
+        """Keep the server of a flow; tell whether it differs from the choice."""
+        tracked = not is_opening_key(key) and self.differs(server, key)
+        self._put(key, digest_of(server), now, tracked)
+        return tracked
+
+    def replicate(self, key: int, server: BackendServer) -> None:
+        """Queue a record for the other holders of its key."""
+        for host_id in self.ownership.future.holders(key).others(self.ownership.own_id):
+            self.replies.add(host_id, key, digest_of(server))
+
+    def send_record(self, host_id: str, key: int, server: BackendServer) -> list[Any]:
+        """Return the message that sends one record at once."""
+        host = self.ownership.host(host_id)
+        if host is None:
+            return []
+        records = [(key, digest_of(server))]
+        message = make_message(self.version_number, self.routes.digest, records)
+        return [SendPeer(host.endpoint, message)]
+
+    def take(self, event: PeerReceived, now: float) -> list[Any]:
+        """Take flow records of a peer."""
+        message = event.message
+        self.settling.sight(message.version_number, now)
+        for record in message.records or ():
+            key, digest = to_unsigned(record.key), to_unsigned(record.server_digest)
+            if key:
+                self._take_record(key, digest, event.host_id, now)
+        if message.complete:
+            completion = Completion(
+                event.incarnation, message.version_number, message.version_digest
+            )
+            self.settling.complete(event.host_id, completion)
+        return self.counts()
+
+    def _take_record(self, key: int, digest: int, sender: str, now: float) -> None:
+        holders = self.ownership.future.holders(key)
+        slot = self.table.find(key)
+        if slot >= 0 and self.is_trusted(slot, now):
+            if self.table.digest_at(slot) == digest:
+                self.table.touch(slot, now)
+                return
+            # Packets have already followed the record here, so that only the
+            # owner's word replaces it.
+            self.conflicts += 1
+            if sender != holders.owner:
+                return
+        server = self.routes.servers_by_digest.get(digest)
+        tracked = server is None or self.differs(server, key)
+        self._put(key, digest, now, tracked and not is_opening_key(key))
+        is_owner = holders.owner == self.ownership.own_id
+        if is_owner and sender != holders.backup and holders.backup:
+            self.replies.add(holders.backup, key, digest)
+
+    def _put(self, key: int, digest: int, now: float, tracked: bool) -> None:
+        self.lost_records += self.table.put(key, digest, now, tracked)
+
+    def counts(self) -> list[Any]:
+        """Return counters of conflicts and losses since the last call."""
+        actions: list[Any] = []
+        if self.conflicts:
+            actions.append(Count("flow_record_conflicts", amount=self.conflicts))
+        if self.lost_records:
+            actions.append(Count("flow_records_lost", amount=self.lost_records))
+        self.conflicts = self.lost_records = 0
+        return actions
+
+    def send_due(self, now: float) -> list[Any]:
+        """Return the record messages that the control budget allows."""
+        stamp = (self.version_number, self.routes.digest)
+        actions = self.outbox.send_due(self.ownership, *stamp, now)
+        return actions + self.replies.send_due(self.ownership, *stamp, now)
+
+    def completions(self) -> list[Any]:
+        """Return the messages that end a hand-over, one for each peer."""
+        message = make_message(self.version_number, self.routes.digest, (), True)
+        return [SendPeer(h.endpoint, message) for h in self.ownership.peers()]
--- /dev/null
+++ b/hornbeamdeal/steering/_stateful.py
@@ -0,0 +1,114 @@
+"""Baselines that keep each host's own flows, as single load balancers do."""
+
+from random import Random
+
+from hornbeamdeal.kernel import BackendServer, register
+
+from ._assignment import SmoothWeightedRoundRobin
+from ._routes import Route
+from ._stateless import ViewSteering
+
+# The oldest flows are forgotten first. A flow takes about 150 bytes.
+REMEMBERED_FLOWS = 1 << 16
+
+
+class LocalFlowSteering(ViewSteering):
+    """Remembers the server of each flow this host has forwarded."""
+
+    __slots__ = ("servers_by_key_", "random_")
+
+    def __init__(self, *, random_state: int = 0):
+        super().__init__(random_state=random_state)
+        self.servers_by_key_: dict[int, str] = {}
+        self.random_ = Random(random_state)
+
+    def _choose(self, key: int, route: Route) -> BackendServer | None:
+        server = self._remembered(key, route.service)
+        if server is not None:
+            return server
+        servers = route.server_set.servers
+        if not servers:
+            return None
+        server = self._pick(servers, route.service)
+        if len(self.servers_by_key_) >= REMEMBERED_FLOWS:
+            self._forget(next(iter(self.servers_by_key_)))
+        self.servers_by_key_[key] = server.server_id
+        self._added(server.server_id)
+        return server
+
+    def _remembered(self, key: int, service: str) -> BackendServer | None:
+        server_id = self.servers_by_key_.get(key)
+        if server_id is None:
+            return None
+        server = self.routes_.view.servers_by_id.get(server_id)
+        if server is not None and server.service == service:
+            return server
+        self._forget(key)
+        return None
+
+    def _forget(self, key: int) -> None:
+        self._removed(self.servers_by_key_.pop(key))
+
+    def _added(self, server_id: str) -> None:
+        """Take note of a new flow of a server."""
+
+    def _removed(self, server_id: str) -> None:
+        """Take note of a forgotten flow of a server."""
+
+    def _pick(self, servers: list[BackendServer], service: str) -> BackendServer:
+        raise NotImplementedError
+
+
+@register("steering", "random")
+class RandomSteering(LocalFlowSteering):
+    """Draws a server for each flow in proportion to the weights."""
+
+    __slots__ = ()
+
+    def _pick(self, servers: list[BackendServer], service: str) -> BackendServer:
+        weights = [server.weight for server in servers]
+        return self.random_.choices(servers, weights)[0]
+
+
+@register("steering", "round_robin")
+class RoundRobinSteering(LocalFlowSteering):
+    """Takes the servers in turn for this host's flows."""
+
+    __slots__ = ("rotations_by_service_",)
+
+    def __init__(self, *, random_state: int = 0):
+        super().__init__(random_state=random_state)
+        self.rotations_by_service_: dict[str, SmoothWeightedRoundRobin] = {}
+
+    def _pick(self, servers: list[BackendServer], service: str) -> BackendServer:
+        rotation = self.rotations_by_service_.get(service)
+        if rotation is None:
+            rotation = SmoothWeightedRoundRobin(self.random_)
+            self.rotations_by_service_[service] = rotation
+        return rotation.pick(servers)
+
+
+@register("steering", "least_loaded")
+class LeastLoadedSteering(LocalFlowSteering):
+    """Takes the server with the fewest flows of this host by weight."""
+
+    __slots__ = ("flows_by_server_",)
+
+    def __init__(self, *, random_state: int = 0):
+        super().__init__(random_state=random_state)
+        self.flows_by_server_: dict[str, int] = {}
+
+    def _added(self, server_id: str) -> None:
+        flows = self.flows_by_server_.get(server_id, 0)
+        self.flows_by_server_[server_id] = flows + 1
+
+    def _removed(self, server_id: str) -> None:
+        self.flows_by_server_[server_id] -= 1
+
+    def _pick(self, servers: list[BackendServer], service: str) -> BackendServer:
+        flows = self.flows_by_server_
+        # Ties are broken at random; otherwise all hosts load the first server.
+        return min(
+            servers,
+            key=lambda s: (flows.get(s.server_id, 0) / s.weight, self.random_.random()),
+        )
--- /dev/null
+++ b/hornbeamdeal/steering/_stateless.py
@@ -0,0 +1,115 @@
+"""Common part of all steering plug-ins, and those that keep no flows."""
+
+from typing import Any
+
+from hornbeamdeal.kernel import (
+    BackendServer,
+    DropPacket,
+    FlowPacket,
+    ForwardPacket,
+    PacketReceived,
+    View,
+    register,
+)
+
+from ._keys import flow_key
+from ._routes import Route, Routes
+
+# A cached choice takes about 150 bytes, so a full cache takes about 10 MB.
+CACHED_CHOICES = 1 << 16
+
+
+class ViewSteering:
+    """Steers packets by the latest view; subclasses choose the server.
+
+    Parameters
+    ----------
+    random_state : int
+        Seed of all random choices.
+    """
+
+    __slots__ = ("random_state", "routes_")
+
+    def __init__(self, *, random_state: int = 0):
+        self.random_state = random_state
+        self.routes_ = Routes()
+
+    def update(self, view: View, now: float) -> list[Any]:
+        """Take a new view of servers and hosts."""
+        if self.routes_.update(view, now):
+            self._servers_changed()
+        return []
+
+    def handle(self, event: Any, now: float) -> list[Any]:
+        """Steer a packet; other events are ignored."""
+        if isinstance(event, PacketReceived):
+            return [self._steer(event.packet, now)]
+        return []
+
+    def tick(self, now: float) -> list[Any]:
+        """Do nothing: no work is deferred."""
+        return []
+
+    def make_handle(self, server: BackendServer, flow_token: bytes) -> bytes | None:
+        """Return None: no handles are used."""
+        return None
+
+    def explain(self, key: int, service: str) -> str:
+        """Say in one line which server a flow key gets here, and why."""
+        server_set = self.routes_.sets_by_service.get(service)
+        if server_set is None:
+            return f"no service is called {service}"
+        server = self._choose(key, Route(service, "", server_set))
+        name = server.server_id if server else "no server"
+        return f"{name} by {type(self).__name__}"
+
+    def _steer(self, packet: FlowPacket, now: float) -> Any:
+        route = self.routes_.by_address.get(packet.address)
+        refusal = self.routes_.refusal(route, now)
+        if refusal:
+            return DropPacket(packet, refusal)
+        server = self._choose(flow_key(packet), route)
+        if server is None:
+            return DropPacket(packet, "no_server")
+        return ForwardPacket(server, packet)
+
+    def _servers_changed(self) -> None:
+        """Discard what was derived from the earlier servers."""
+
+    def _choose(self, key: int, route: Route) -> BackendServer | None:
+        raise NotImplementedError
+
+
+@register("steering", "modulo")
+class ModuloSteering(ViewSteering):
+    """Takes the key modulo the number of servers; weights are not respected."""
+
+    __slots__ = ()
+
+    def _choose(self, key: int, route: Route) -> BackendServer | None:
+        servers = route.server_set.servers
+        # The lowest bit of a flow key is always 0.
+        return servers[(key >> 1) % len(servers)] if servers else None
+
+
+@register("steering", "rendezvous")
+class RendezvousSteering(ViewSteering):
+    """Takes the weighted rendezvous choice, cached by flow key."""
+
+    __slots__ = ("choices_",)
+
+    def __init__(self, *, random_state: int = 0):
+        super().__init__(random_state=random_state)
+        self.choices_: dict[int, BackendServer | None] = {}
+
+    def _servers_changed(self) -> None:
+        self.choices_.clear()
+
+    def _choose(self, key: int, route: Route) -> BackendServer | None:
+        try:
+            return self.choices_[key]
+        except KeyError:
+            if len(self.choices_) >= CACHED_CHOICES:
+                self.choices_.clear()
+            server = self.choices_[key] = route.server_set.choose(key)
+            return server
