--- a/benchmarks/blocking.py
+++ b/benchmarks/blocking.py
@@ -20,6 +20,7 @@
 CALLERS = 70
 SEEDS = (1, 2, 3, 4, 5)
 BOUND = 1.5  # of M3
+MAX_REFUSED = 0.001  # a p99 that is met by refusing bookings does not count
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,7 +32,8 @@
     p99_without_ms: float
     p99_with_ms: float
     ratio: float
-    refused_share: float
+    refused_without: float
+    refused_with: float
     uploads_finished_share: float
     sheds_per_start: float
 
@@ -42,6 +44,8 @@
     mixed = _run(plugin, seed, LONG_WORK_SHARE)
     p99_without, p99_with = _p99(without), _p99(mixed)
     short = [job for job in mixed.jobs if not job.long]
+    refused = sum(job.refused_at is not None for job in short)
+    refused_without = sum(job.refused_at is not None for job in without.jobs)
     long = [job for job in mixed.jobs if job.long]
     in_time = [job for job in long if job.ended_at and job.ended_at <= job.deadline]
     return BlockingResult(
@@ -50,7 +54,8 @@
         p99_without_ms=p99_without * 1000,
         p99_with_ms=p99_with * 1000,
         ratio=p99_with / p99_without,
-        refused_share=sum(job.refused_at is not None for job in short) / len(short),
+        refused_without=refused_without / len(without.jobs),
+        refused_with=refused / len(short),
         uploads_finished_share=len(in_time) / len(long),
         sheds_per_start=mixed.sheds / mixed.starts,
     )
@@ -77,13 +82,12 @@
 
 
 def _p99(harness: Harness) -> float:
-    """Return the bookings' p99; a refused booking counts with its deadline."""
-    waits = []
-    for job in harness.jobs:
-        if job.long or job.offered_at < WARM_UP:
-            continue
-        ended_at = job.ended_at if job.ended_at is not None else job.deadline
-        waits.append(ended_at - job.offered_at)
+    """Return the p99 of the answered bookings in seconds."""
+    waits = [
+        job.ended_at - job.offered_at
+        for job in harness.jobs
+        if not job.long and job.offered_at >= WARM_UP and job.ended_at is not None
+    ]
     return quantiles(waits, n=100)[98]
 
 
@@ -97,7 +101,9 @@
         row |= {"ratio_min": min(ratios), "ratio_max": max(ratios)}
         for name in list(asdict(own[0]))[2:]:
             row[name] = median(getattr(result, name) for result in own)
-        row["bound_met"] = max(ratios) <= BOUND
+        refused = max(max(r.refused_without, r.refused_with) for r in own)
+        row["refused_max"] = refused
+        row["bound_met"] = max(ratios) <= BOUND and refused <= MAX_REFUSED
         rows.append(row)
     return rows
 
--- a/hornbeamdeal/admission/_pool.py
+++ b/hornbeamdeal/admission/_pool.py
@@ -15,6 +15,9 @@
 from ._service_times import RunningMean, ServiceTimes
 
 CHOICES = 2  # sampled servers when borrowing
+SHED_GAIN = 0.02  # weight of the newest borrowing in the shed share
+BORROW_PATIENCE = 6.0  # service times waited when all borrowing is refused
+RETRY_PATIENCE = 2.0  # service times a refused ticket waits for a sure slot
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,6 +41,7 @@
     since: float
     declared_long: bool
     long: bool
+    borrowed: bool
 
 
 class ServicePool:
@@ -61,7 +65,7 @@
         self._listed: set[str] = set()
         self._running: dict[int, Running] = {}
         self._times = ServiceTimes(settings.initial_service_time, settings.long_ratio)
-        self._shed_share = RunningMean(0.0)
+        self._shed_share = RunningMean(0.0, SHED_GAIN)
         self._lanes = {long: self._make_lane() for long in (False, True)}
 
     def update(
@@ -204,9 +208,15 @@
         self, ticket: Ticket, long: bool, waited: float, now: float
     ) -> ServerSlots | None:
         servers = self._allowed_servers(ticket)
+        if ticket.excluded:
+            freed = self._find_freed(servers, long, now)
+            if freed is not None:
+                return freed
         home = [s for s in servers if s.has_home_slot(long, now)]
         if home:
             return min(home, key=lambda s: (s.score(now), self._random.random()))
+        if ticket.excluded and self._awaits_sure_slot(long, waited):
+            return None
         if not self._may_borrow(long, waited):
             return None
         lenders = [s for s in servers if s.can_lend(long, now)]
@@ -215,6 +225,24 @@
         sampled = self._random.sample(lenders, min(CHOICES, len(lenders)))
         return min(sampled, key=lambda s: s.score(now))
 
+    def _awaits_sure_slot(self, long: bool, waited: float) -> bool:
+        """Tell whether a refused ticket should wait for a slot known to be free.
+
+        Blind tries at 70% load were refused about one time in three, so that
+        three tries in a row lost 2% of all requests.
+        """
+        patience = RETRY_PATIENCE * self._lanes[long].service_time.value
+        return bool(self._running) and waited < patience
+
+    def _find_freed(
+        self, servers: list[ServerSlots], long: bool, now: float
+    ) -> ServerSlots | None:
+        """Find a slot that a request of this host has just left."""
+        if long and self._lanes[True].running >= max(1, self._long_home()):
+            return None
+        freed = (s for s in servers if s.is_just_freed(long, now))
+        return next(freed, None)
+
     def _allowed_servers(self, ticket: Ticket) -> list[ServerSlots]:
         usable = [s for s in self._servers.values() if s.is_usable()]
         if not ticket.excluded:
@@ -231,17 +259,19 @@
         take all slots of a server.
         """
         lane = self._lanes[long]
-        if long and (lane.running or self._has_long_home()):
+        if long and (lane.running or self._long_home()):
             return False
-        return waited >= self._shed_share.value * lane.service_time.value
+        patience = BORROW_PATIENCE * self._shed_share.value
+        return waited >= patience * lane.service_time.value
 
-    def _has_long_home(self) -> bool:
-        return any(s.home.long for s in self._servers.values() if s.is_usable())
+    def _long_home(self) -> int:
+        return sum(s.home.long for s in self._servers.values() if s.is_usable())
 
     def _start(
         self, ticket: Ticket, long: bool, server: ServerSlots, now: float
     ) -> Start:
-        running = Running(ticket, server, now, long, long)
+        borrowed = not server.has_home_slot(long, now)
+        running = Running(ticket, server, now, long, long, borrowed)
         self._running[ticket.ticket_id] = running
         server.start(long)
         self._lanes[long].count_running(1, now)
@@ -256,7 +286,8 @@
         return running
 
     def _record(self, running: Running, answer: ServerAnswer, now: float) -> None:
-        self._shed_share.record(float(answer.outcome is Outcome.REFUSED))
+        if running.borrowed:
+            self._shed_share.record(float(answer.outcome is Outcome.REFUSED))
         if answer.outcome not in (Outcome.ANSWERED, Outcome.TIMED_OUT):
             return
         seconds = now - running.since
--- a/hornbeamdeal/admission/_server.py
+++ b/hornbeamdeal/admission/_server.py
@@ -9,6 +9,7 @@
 from ._limit import LearnedLimit
 
 REPORT_AGEING = 0.5  # seconds in which a load report loses most of its weight
+JUST_FREED = 0.002  # seconds in which another host rarely takes a freed slot
 FULL = 0.9  # aged load above which a server counts as full
 HOME_MAX_RECOVERY = 0.16  # seconds per slot; an owner is not kept out for long
 FOREIGN_MAX_RECOVERY = 1.28  # seconds per slot
@@ -18,6 +19,7 @@
     """Requests of this host at a server, and what the host believes of it."""
 
     __slots__ = (
+        "_freed_at",
         "_load",
         "_reported_at",
         "_slow_since",
@@ -38,6 +40,7 @@
         self.health = ServerHealth()
         self.running = 0
         self.long_running = 0
+        self._freed_at = -math.inf
         self._load = 0.0
         self._reported_at = -math.inf
         self._slow_since = -math.inf
@@ -73,11 +76,13 @@
 
     def can_lend(self, long: bool, now: float) -> bool:
         """Tell whether a slot of another host, or an unowned one, may be tried."""
-        if not self._is_open(long, now) or self._ramp(now) < 1.0:
-            return False
-        if long and self.long_running >= max(1, self.server.slots - 1):
+        return self._has_foreign_slot(long, now) and self.aged_load(now) < FULL
+
+    def is_just_freed(self, long: bool, now: float) -> bool:
+        """Tell whether a request of this host has left a slot a moment ago."""
+        if now - self._freed_at > JUST_FREED:
             return False
-        return self.aged_load(now) < FULL
+        return self._has_foreign_slot(long, now)
 
     def score(self, now: float) -> float:
         """Return the believed load: own work plus the aged report."""
@@ -89,6 +94,7 @@
 
     def start(self, long: bool) -> None:
         """Count a request that is sent."""
+        self._freed_at = -math.inf
         self.running += 1
         self.long_running += long
 
@@ -106,6 +112,7 @@
             self.limit.record_refusal(self.running, now)
         elif answer.outcome is Outcome.ANSWERED:
             self.limit.record_success()
+            self._freed_at = now
             self._record_result(False, now)
         elif answer.outcome in (Outcome.FAILED, Outcome.TIMED_OUT):
             self._record_result(True, now)
@@ -118,6 +125,11 @@
         self._load = min(1.0, max(0.0, load))
         self._reported_at = now
 
+    def _has_foreign_slot(self, long: bool, now: float) -> bool:
+        if not self._is_open(long, now) or self._ramp(now) < 1.0:
+            return False
+        return not long or self.long_running < max(1, self.server.slots - 1)
+
     def _is_open(self, long: bool, now: float) -> bool:
         if not self.is_usable() or not self.limit.allows(self.running, now):
             return False
--- a/hornbeamdeal/admission/_service_times.py
+++ b/hornbeamdeal/admission/_service_times.py
@@ -6,16 +6,17 @@
 class RunningMean:
     """Mean that starts as a plain average and then forgets exponentially."""
 
-    __slots__ = ("count", "value")
+    __slots__ = ("count", "min_gain", "value")
 
-    def __init__(self, initial: float):
+    def __init__(self, initial: float, min_gain: float = MIN_GAIN):
         self.value = initial
+        self.min_gain = min_gain
         self.count = 0
 
     def record(self, sample: float) -> None:
         """Add one sample."""
         self.count += 1
-        gain = max(1 / self.count, MIN_GAIN)
+        gain = max(1 / self.count, self.min_gain)
         self.value += (sample - self.value) * gain
 
 
