Wire the components into the daemon; check the version after a pause

Cause: a paused host serves a moved address from its old document; messages that waited in its sockets are as old as its facts. Ruled out: taking any peer message as proof after a pause. The driver feeds all components.

--- a/hornbeamdeal/daemon/_assembly.py
+++ b/hornbeamdeal/daemon/_assembly.py
@@ -1,41 +1,48 @@
 """Builds the components of an entry host from its settings."""
 
 import secrets
+import time
 from hashlib import blake2b
 
-from hornbeamdeal import admission, steering  # noqa: F401  (registers plug-ins)
+from hornbeamdeal import admission  # noqa: F401  (its plug-ins register themselves)
 from hornbeamdeal.dissemination import Dissemination
 from hornbeamdeal.kernel import EntryHost, SystemClock, create
-from hornbeamdeal.membership import Membership
+from hornbeamdeal.membership import Membership, draw_incarnation
 from hornbeamdeal.observability import Metrics, configure_logs
 from hornbeamdeal.requests import RequestDispatcher
 from hornbeamdeal.settings import EntrySettings
+from hornbeamdeal.steering import Steering
 from hornbeamdeal.wire import PeerCodec
 
 from ._driver import Components, EntryDriver
+from ._pause_check import PauseCheck
 from ._world import World
 
-INCARNATION_BITS = 62
+TRACKED = "tracked"
 KEY_BYTES = 32
 RUN_TOKEN_PURPOSE = b"run token"
 HANDLE_PURPOSE = b"flow handle"
 
 
-def derive_key(settings: EntrySettings, purpose: bytes) -> bytes:
-    """Derive a key that all hosts of the region share from the sending key."""
-    key = settings.peer_keys[settings.sending_key]
-    return blake2b(purpose, key=key[:64], digest_size=KEY_BYTES).digest()
+def derive_keys(settings: EntrySettings, purpose: bytes) -> tuple[bytes, ...]:
+    """Derive keys that all hosts of the region share, the sending one first."""
+    key_ids = sorted(settings.peer_keys, key=lambda i: (i != settings.sending_key, i))
+    return tuple(
+        blake2b(purpose, key=settings.peer_keys[i][:64], digest_size=KEY_BYTES).digest()
+        for i in key_ids
+    )
 
 
 def make_driver(settings: EntrySettings) -> EntryDriver:
     """Build an entry host's driver with all its components."""
-    incarnation = secrets.randbits(INCARNATION_BITS)
+    incarnation = draw_incarnation(time.time())
     random_state = secrets.randbits(32)
+    world = World(own_id=settings.host_id, own_zone=settings.zone)
     return EntryDriver(
         settings=settings,
         clock=SystemClock(),
-        components=make_components(settings, incarnation, random_state),
-        world=World(own_id=settings.host_id, own_zone=settings.zone),
+        components=make_components(settings, world, incarnation, random_state),
+        world=world,
         codec=PeerCodec(
             host_id=settings.host_id,
             incarnation=incarnation,
@@ -48,31 +55,48 @@
 
 
 def make_components(
-    settings: EntrySettings, incarnation: int, random_state: int
+    settings: EntrySettings, world: World, incarnation: int, random_state: int
 ) -> Components:
     """Build the decision components."""
-    own = EntryHost(settings.host_id, incarnation, settings.peer_listen, settings.zone)
     return Components(
-        membership=Membership(own=own, seeds=settings.seeds, random_state=random_state),
+        membership=_make_membership(settings, incarnation, random_state),
         dissemination=Dissemination(
             own_id=settings.host_id,
-            own_zone=settings.zone,
-            random_state=random_state,
-        ),
-        steering=create(
-            "steering",
-            settings.steering,
-            handle_key=derive_key(settings, HANDLE_PURPOSE),
-            random_state=random_state,
-        ),
-        dispatcher=RequestDispatcher(
-            admission=create(
-                "admission", settings.admission, random_state=random_state
-            ),
-            own_id=settings.host_id,
-            incarnation=incarnation,
-            own_endpoint=settings.peer_listen,
-            token_key=derive_key(settings, RUN_TOKEN_PURPOSE),
+            zone=settings.zone,
+            check_document=world.check_document,
+            check_hosts=world.check_host_list,
             random_state=random_state,
         ),
+        pause_check=PauseCheck(random_state=random_state),
+        steering=_make_steering(settings, random_state),
+        dispatcher=_make_dispatcher(settings, incarnation, random_state),
+    )
+
+
+def _make_membership(
+    settings: EntrySettings, incarnation: int, random_state: int
+) -> Membership:
+    own = EntryHost(settings.host_id, incarnation, settings.peer_listen, settings.zone)
+    return Membership(own=own, seeds=settings.seeds, random_state=random_state)
+
+
+def _make_steering(settings: EntrySettings, random_state: int) -> Steering:
+    parameters = {"random_state": random_state}
+    if settings.steering == TRACKED:
+        parameters["handle_keys"] = derive_keys(settings, HANDLE_PURPOSE)
+    return create("steering", settings.steering, **parameters)
+
+
+def _make_dispatcher(
+    settings: EntrySettings, incarnation: int, random_state: int
+) -> RequestDispatcher:
+    keys = derive_keys(settings, RUN_TOKEN_PURPOSE)
+    return RequestDispatcher(
+        admission=create("admission", settings.admission, random_state=random_state),
+        host_id=settings.host_id,
+        incarnation=incarnation,
+        endpoint=settings.peer_listen,
+        token_key=keys[0],
+        previous_token_key=keys[1] if len(keys) > 1 else None,
+        random_state=random_state,
     )
--- a/hornbeamdeal/daemon/_driver.py
+++ b/hornbeamdeal/daemon/_driver.py
@@ -14,6 +14,7 @@
     AcknowledgeRequest,
     Address,
     AddressKind,
+    AnnouncePause,
     Answer,
     AnswerStatus,
     CancelDispatch,
@@ -24,6 +25,7 @@
     DropPacket,
     Endpoint,
     ForwardPacket,
+    HostListInUse,
     LogEvent,
     MembersChanged,
     PacketReceived,
@@ -41,6 +43,7 @@
     ServerAnswered,
     StopRequested,
     UseHostList,
+    VersionInForce,
 )
 from hornbeamdeal.observability import Metrics
 from hornbeamdeal.wire import peer_types
@@ -59,17 +62,30 @@
 class Components:
     """The decision components of one entry host."""
 
-    __slots__ = ("membership", "dissemination", "steering", "dispatcher")
+    __slots__ = (
+        "membership",
+        "dissemination",
+        "pause_check",
+        "steering",
+        "dispatcher",
+    )
 
-    def __init__(self, *, membership, dissemination, steering, dispatcher):
+    def __init__(self, *, membership, dissemination, pause_check, steering, dispatcher):
         self.membership = membership
         self.dissemination = dissemination
+        self.pause_check = pause_check
         self.steering = steering
         self.dispatcher = dispatcher
 
     def all(self) -> tuple[Any, ...]:
         """Return all components in the order of their updates."""
-        return self.membership, self.dissemination, self.steering, self.dispatcher
+        return (
+            self.membership,
+            self.dissemination,
+            self.pause_check,
+            self.steering,
+            self.dispatcher,
+        )
 
 
 class EntryDriver:
@@ -175,10 +191,14 @@
         self.last_event_at_ = now
         if gap <= PAUSE_SECONDS:
             return
+        self._announce_pause(gap, now)
+
+    def _announce_pause(self, seconds: float, now: float) -> None:
         self.metrics.count(Count("pauses"))
-        self.log("pause_detected", "warning", seconds=round(gap, 3))
+        self.log("pause_detected", "warning", seconds=round(seconds, 3))
+        self.world.note_pause(seconds)
         for component in self.components.all():
-            self.pending_.extend(component.handle(PauseDetected(gap), now))
+            self.pending_.extend(component.handle(PauseDetected(seconds), now))
 
     def _carry_out_pending(self, now: float) -> None:
         while self.pending_:
@@ -186,6 +206,7 @@
             self.carry_out_by_type_[type(action)](action)
             if not self.pending_ and self.world.is_changed_:
                 self._update_components(now)
+        self.world.set_confirmed(not self.components.pause_check.is_open_)
 
     def _update_components(self, now: float) -> None:
         view = self.world.make_view(self.components.membership.members_, now)
@@ -233,22 +254,26 @@
         self._receive_from_caller(datagram.payload, datagram.source, address, hops=0)
 
     def _receive_from_caller(
-        self, payload: bytes, caller: Endpoint, address: Address, hops: int
+        self,
+        payload: bytes,
+        caller: Endpoint,
+        address: Address,
+        hops: int,
+        relayed_by: str = "",
     ) -> None:
         is_held = self.world.is_held(address.endpoint, self.clock.monotonic())
         if address.kind is AddressKind.FLOWS:
-            self._receive_flow_packet(payload, caller, address, hops, is_held)
+            if is_held:
+                self.metrics.count(Count("dropped", "address_held", address.service))
+                return
+            packet = wire.decode_packet(
+                address.codec, payload, caller, address.endpoint
+            )
+            packet = replace(packet, hops=hops, relayed_by=relayed_by)
+            self.feed(PacketReceived(packet), (self.components.steering,))
         else:
             self._receive_request(payload, caller, address, hops, is_held)
 
-    def _receive_flow_packet(self, payload, caller, address, hops, is_held) -> None:
-        if is_held:
-            self.metrics.count(Count("dropped", "address_held", address.service))
-            return
-        packet = wire.decode_packet(address.codec, payload, caller, address.endpoint)
-        event = PacketReceived(replace(packet, hops=hops))
-        self.feed(event, (self.components.steering,))
-
     def _receive_request(self, payload, caller, address, hops, is_held) -> None:
         decoded = wire.decode_request(payload, caller, address.endpoint)
         if isinstance(decoded, Err):
@@ -312,12 +337,12 @@
         datagram = decoded.ok_value
         message = datagram.message
         if isinstance(message, peer_types.RelayedPacket | peer_types.RelayedRequest):
-            self._receive_relayed(message)
+            self._receive_relayed(message, datagram.host_id)
             return
         event = PeerReceived(datagram.host_id, datagram.incarnation, sender, message)
         self.feed(event, self.components.all())
 
-    def _receive_relayed(self, message: Any) -> None:
+    def _receive_relayed(self, message: Any, host_id: str) -> None:
         address = self.world.address_of(
             Endpoint(message.address_ip, message.address_port)
         )
@@ -327,7 +352,7 @@
         is_packet = isinstance(message, peer_types.RelayedPacket)
         payload = message.payload if is_packet else message.datagram
         caller = Endpoint(message.caller_ip, message.caller_port)
-        self._receive_from_caller(payload, caller, address, message.hops)
+        self._receive_from_caller(payload, caller, address, message.hops, host_id)
 
     def _count_malformed(self, origin: str, error: wire.MalformedMessageError) -> None:
         self.metrics.count(Count("malformed", f"{origin}_{error.reason}"))
@@ -350,6 +375,7 @@
             PutInForce: self._put_in_force,
             UseHostList: self._use_host_list,
             MembersChanged: self._mark_changed,
+            AnnouncePause: self._take_pause,
             Count: self.metrics.count,
             LogEvent: self._log_event,
         }
@@ -453,6 +479,7 @@
             return
         self.metrics.set_gauge("version_in_force", action.version.number)
         self.log("document_in_force", version=action.version)
+        self._feed_later(VersionInForce(action.version))
 
     def _use_host_list(self, action: UseHostList) -> None:
         errors = self.world.use_host_list(action.content)
@@ -461,6 +488,18 @@
             self.log("host_list_rejected", "error", detail=errors[0])
             return
         self.log("host_list_used", revision=action.revision)
+        entries = self.world.host_list_.entry_hosts_by_id.values()
+        endpoints = tuple(entry.endpoint for entry in entries)
+        self._feed_later(HostListInUse(action.revision, endpoints))
+
+    def _feed_later(self, event: Any) -> None:
+        now = self.clock.monotonic()
+        for component in self.components.all():
+            self.pending_.extend(component.handle(event, now))
+
+    def _take_pause(self, action: AnnouncePause) -> None:
+        # The length is unknown: the clock stood still with the process.
+        self._announce_pause(0.0, self.clock.monotonic())
 
     def _mark_changed(self, action: MembersChanged) -> None:
         self.world.is_changed_ = True
--- a/hornbeamdeal/daemon/_world.py
+++ b/hornbeamdeal/daemon/_world.py
@@ -67,6 +67,16 @@
         """Tell whether both a document and a host list are in force."""
         return self.document_ is not None and self.host_list_ is not None
 
+    def check_document(self, content: bytes) -> str:
+        """Return the first fault of a document, an empty string without one."""
+        parsed = self.parser_.parse(content)
+        return str(parsed.err_value[0]) if isinstance(parsed, Err) else ""
+
+    def check_host_list(self, content: bytes) -> str:
+        """Return the first fault of a host list, an empty string without one."""
+        parsed = parse_host_list(content)
+        return str(parsed.err_value[0]) if isinstance(parsed, Err) else ""
+
     def put_in_force(self, content: bytes) -> list[Fault]:
         """Take a document; return the faults for which it is refused."""
         parsed = self.parser_.parse(content)
@@ -115,6 +125,19 @@
         """Return the backend server of the document in force at an endpoint."""
         return self.servers_by_endpoint_.get(endpoint)
 
+    def is_starting(self, now: float) -> bool:
+        """Tell whether the addresses are held because this host has just started."""
+        return self.hold_down_.starting(now)
+
+    def note_pause(self, seconds: float) -> None:
+        """Hold all addresses until the version in force is confirmed."""
+        self.hold_down_.note_pause(seconds)
+
+    def set_confirmed(self, is_confirmed: bool) -> None:
+        """Take whether the version in force is known to be the newest."""
+        if is_confirmed:
+            self.hold_down_.confirm_version()
+
     def is_held(self, endpoint: Endpoint, now: float) -> bool:
         """Tell whether an address is held down."""
         return self.hold_down_.is_held(endpoint, now)
--- a/hornbeamdeal/steering/_ownership.py
+++ b/hornbeamdeal/steering/_ownership.py
@@ -34,7 +34,9 @@
 
     def __init__(self, host_ids: frozenset[str]):
         self.host_ids = host_ids
-        self._seeds = [(h, xxhash.xxh3_64_intdigest(h.encode())) for h in sorted(host_ids)]
+        self._seeds = [
+            (h, xxhash.xxh3_64_intdigest(h.encode())) for h in sorted(host_ids)
+        ]
         self._holders_by_partition: dict[int, Holders] = {}
 
     def holders(self, key: int) -> Holders:
