Treat a resumed host as a joining one; push records to joining hosts again

Change: new owners push to all that joined within 5 s; a joining host asks owners for at least the settle time; a pause starts the same state.

--- a/benchmarks/flow_cluster.py
+++ b/benchmarks/flow_cluster.py
@@ -88,7 +88,7 @@
         self.left_at: dict[str, float] = {}
         self.flows: list[Flow] = []
         self.fabric: list[str] = []
-        self.packets = self.relays = self.lost = self.late = 0
+        self.packets = self.relays = self.lost = self.late = self.duplicates = 0
         self.control_bytes: dict[int, int] = {}
         entries = [self._entry(i) for i in range(hosts)]
         for entry in entries:
@@ -216,6 +216,10 @@
         if not flow.server_id:
             left_at = self.left_at.get(server.server_id, self.now)
             self.late += self.now - left_at > LEAVING_BOUND_SECONDS
+        elif packet.opens and flow.handle is not None:
+            # A late copy of the opening packet; the caller keeps its handle.
+            self.duplicates += flow.server_id != server.server_id
+            return
         elif flow.server_id != server.server_id:
             self._break(flow, server.server_id)
         flow.server_id = server.server_id
@@ -246,6 +250,7 @@
         self.documents.append((number + 1, servers))
         delays = [self.random.uniform(0, self.skew) for _ in self.hosts]
         for server_id, weight in changes.items():
+            self.left_at.pop(server_id, None)
             if not weight:
                 self.left_at[server_id] = self.now + min(delays)
         for host_id, delay in zip(self.hosts, delays, strict=True):
--- a/benchmarks/flows.py
+++ b/benchmarks/flows.py
@@ -105,6 +105,7 @@
     after = {s: b for s, b in cluster.control_bytes.items() if s >= int(start)}
     return {
         "broken_per_1000": 1000 * cluster.broken() / len(cluster.flows),
+        "duplicate_openings": cluster.duplicates,
         "late_new_flows": cluster.late,
         "lost_packets": cluster.lost,
         "relayed_share": (cluster.relays - relays) / (cluster.packets - packets),
--- a/hornbeamdeal/steering/_ownership.py
+++ b/hornbeamdeal/steering/_ownership.py
@@ -13,6 +13,8 @@
 # that a packet costs a lookup and not a hash for each of some 300 hosts.
 PARTITIONS = 4096
 _PARTITION_SHIFT = 64 - 12
+# More than the time in which all hosts hear of a joining or leaving host.
+ARRIVAL_SECONDS = 5.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,7 +36,9 @@
 
     def __init__(self, host_ids: frozenset[str]):
         self.host_ids = host_ids
-        self._seeds = [(h, xxhash.xxh3_64_intdigest(h.encode())) for h in sorted(host_ids)]
+        self._seeds = [
+            (h, xxhash.xxh3_64_intdigest(h.encode())) for h in sorted(host_ids)
+        ]
         self._holders_by_partition: dict[int, Holders] = {}
 
     def holders(self, key: int) -> Holders:
@@ -57,12 +61,11 @@
 
     `current` answers relays. `future` includes hosts that have joined in the
     last `join_seconds`; they receive records but no relays until then. `previous`
-    held the records at the last complete hand-over; `arrivals` are hosts that
-    have not been sent all records since.
+    held the records at the last complete hand-over.
     """
 
     __slots__ = ("join_seconds", "own_id", "current", "future", "previous")
-    __slots__ += ("_hosts", "_joined_at", "_started_at", "arrivals")
+    __slots__ += ("_hosts", "_joined_at", "_started_at")
 
     def __init__(self, join_seconds: float):
         self.join_seconds = join_seconds
@@ -71,7 +74,6 @@
         self._hosts: dict[str, EntryHost] = {}
         self._joined_at: dict[str, float] = {}
         self._started_at = 0.0
-        self.arrivals: set[str] = set()
 
     def update(self, view: View, now: float) -> bool:
         """Take a view; tell whether the set of future holders changed."""
@@ -88,9 +90,7 @@
         for host_id in live - self._joined_at.keys():
             was_there = is_starting and host_id != self.own_id
             self._joined_at[host_id] = -math.inf if was_there else now
-        arrivals = live - self.future.host_ids | restarted
-        self.arrivals |= arrivals - {self.own_id}
-        changed = bool(arrivals) or live != self.future.host_ids
+        changed = bool(restarted) or live != self.future.host_ids
         if changed:
             self.future = HostSet(live)
         self.promote(now)
@@ -106,10 +106,25 @@
         elif host_ids != self.current.host_ids:
             self.current = HostSet(host_ids)
 
+    def rejoin(self, now: float) -> None:
+        """Let others answer for this host's keys, as if it had just started."""
+        if self.own_id in self._joined_at:
+            self._joined_at[self.own_id] = now
+            self.promote(now)
+
+    def arrivals(self, now: float) -> set[str]:
+        """Return the hosts that have joined lately.
+
+        They need all records again after each change of hosts in that time: the
+        owner that was to send them may have left without having heard of them.
+        """
+        oldest = now - ARRIVAL_SECONDS
+        joined = {host for host, at in self._joined_at.items() if at > oldest}
+        return joined - {self.own_id}
+
     def handed_over(self) -> None:
         """Take note that the future holders have all records of this host."""
         self.previous = self.future
-        self.arrivals.clear()
 
     def peers(self) -> list[EntryHost]:
         """Return the other live hosts."""
--- a/hornbeamdeal/steering/_packets.py
+++ b/hornbeamdeal/steering/_packets.py
@@ -24,13 +24,23 @@
 
 MAXIMUM_HOPS = 1
 OPAQUE = "opaque"
+# A host that starts asks owners for unknown flows until its peers have sent
+# their records, and no longer than this.
+JOINING_SECONDS = 10.0
 
 
 class PacketPath:
     """Steers packets by handle, record, owner or choice, in this order."""
 
     __slots__ = ("state", "handles", "idle_seconds", "opening_seconds")
-    __slots__ += ("owned_seconds", "joining_until", "_pause", "_rotations", "_random")
+    __slots__ += (
+        "owned_seconds",
+        "joining_least",
+        "joining_until",
+        "_pause",
+        "_rotations",
+        "_random",
+    )
 
     def __init__(self, state, handles, **more):
         self.state: FlowState = state
@@ -39,7 +49,7 @@
         self.opening_seconds: float = more["opening_seconds"]
         # An owner's record is as old as the last refresh by the other hosts.
         self.owned_seconds: float = more["owned_seconds"]
-        self.joining_until: float = more["joining_until"]
+        self.joining_least = self.joining_until = 0.0
         self._random: Random = more["random"]
         self._pause = PauseBuffer()
         self._rotations: dict[str, SmoothWeightedRoundRobin] = {}
@@ -63,6 +73,8 @@
     def pause(self, seconds: float, now: float) -> list[Any]:
         """Hold packets without handles, as records and servers may be old."""
         self.state.trusted_from = now
+        self.state.ownership.rejoin(now)
+        self.start_joining(now)
         self._pause.open(now)
         return [LogEvent("flow_packets_held", {"paused_seconds": seconds}, "warning")]
 
@@ -78,9 +90,20 @@
         packets = self._pause.release(self.state.version_number, now)
         return [action for packet in packets for action in self.steer(packet, now)]
 
+    def start_joining(self, now: float) -> None:
+        """Ask owners for all unknown flows, as peers know of more changes.
+
+        A peer may complete before it hears that it has become an owner, so this
+        lasts for at least the time in which hosts join.
+        """
+        self.joining_least = now + self.state.ownership.join_seconds
+        self.joining_until = now + JOINING_SECONDS
+
     def note_joined(self, now: float) -> None:
         """Stop to ask owners for all unknown flows once peers have sent theirs."""
-        if now >= self.joining_until or not self.state.ownership.peers():
+        if not self.joining_least <= now < self.joining_until:
+            return
+        if not self.state.ownership.peers():
             return
         if self.state.settling.all_completed():
             self.joining_until = now
--- a/hornbeamdeal/steering/_scan.py
+++ b/hornbeamdeal/steering/_scan.py
@@ -22,7 +22,7 @@
 
     __slots__ = ("idle_seconds", "refresh_seconds", "opening_seconds")
     __slots__ += ("record_seconds", "_state", "_position", "_is_running")
-    __slots__ += ("_started_at", "_refreshed_from", "_hosts_changed")
+    __slots__ += ("_started_at", "_refreshed_from", "_hosts_changed", "_arrived")
 
     def __init__(self, state, idle_seconds, refresh_seconds, opening_seconds, **more):
         self.idle_seconds: float = idle_seconds
@@ -35,10 +35,12 @@
         self._started_at = 0.0
         self._refreshed_from = 0.0
         self._hosts_changed = False
+        self._arrived: set[str] = set()
 
     def restart(self, hosts_changed: bool, now: float) -> None:
         """Start from the beginning because servers or hosts changed."""
         self._hosts_changed |= hosts_changed
+        self._arrived = self._state.ownership.arrivals(now)
         self._position = 0
         self._is_running = True
         self._started_at = now
@@ -154,8 +156,7 @@
 
     def _arrivals(self, key: int) -> set[str]:
         ownership = self._state.ownership
-        if ownership.arrivals and (
-            ownership.current.holders(key).owner == ownership.own_id
-        ):
-            return ownership.arrivals
-        return set()
+        if not self._arrived or not self._hosts_changed:
+            return set()
+        is_owner = ownership.current.holders(key).owner == ownership.own_id
+        return self._arrived if is_owner else set()
--- a/hornbeamdeal/steering/_tracked.py
+++ b/hornbeamdeal/steering/_tracked.py
@@ -29,9 +29,6 @@
 from ._table import FlowTable
 
 HISTORY_SECONDS = 24 * 3600.0
-# A host that starts asks owners for unknown flows until its peers have sent
-# their records, and no longer than this.
-JOINING_SECONDS = 10.0
 
 
 class _KeysConstraint:
@@ -202,8 +199,8 @@
             opening_seconds=self.opening_seconds,
             owned_seconds=self.idle_seconds + self.refresh_seconds,
             random=Random(self.random_state),
-            joining_until=now + JOINING_SECONDS,
         )
+        self.packets_.start_joining(now)
 
     def _hear(self, event: PeerReceived, now: float) -> list[Any]:
         actions: list[Any] = []
