--- /dev/null
+++ b/tests/specs/flow_steering.py
@@ -0,0 +1,215 @@
+"""Model of opaque flows while entry hosts have different documents.
+
+`one_server` covers a flow key whose choice is server 1 in document 1 and server
+2 in document 2, two hosts A and B, the key's owner O, one relayed packet, one
+reply and one hand-over in flight for each of A and B, and any number of packets
+from the caller. Messages arrive in any order. Hosts learn document 2 at any
+time, and the owner settles when both have handed over. Not covered: crashes, a
+third document, lost messages, and the time bound on settling, by which a member
+that is later than the bound may break flows that only it knew.
+
+`leaving_server` covers new flows at O and at a host A in steps of half a second.
+The first host learns that the server leaves at time 0, A and O learn at any time
+up to 3 s, and a report of a host's version takes up to 1 s. Some member never
+hands over.
+
+Transitions and the code that they stand for:
+
+learn: `FlowState.update`, `Scan.restart`; hand over: `Scan._recipients_of_flow`,
+`FlowState._take_record`; settle: `Settling.settle_due`; packet: `PacketPath._opaque`;
+relay: `PacketPath._decided`, `Settling.unknown_choice`; reply: `PacketPath._reply`;
+sight: `Settling.sight`; deadline: `Settling._leaving_deadline`.
+"""
+
+from typing import NamedTuple
+
+from minicheck import Protocol
+
+OWNER = 2
+HALF_SECONDS = 2
+CONVERGED = 3 * HALF_SECONDS
+LEAVING_BOUND = 3 * HALF_SECONDS
+SETTLE = 2 * HALF_SECONDS
+SIGHTING = 2 * HALF_SECONDS
+GOSSIP = 1 * HALF_SECONDS
+LAST_STEP = 6 * HALF_SECONDS
+NEVER = LAST_STEP + 1
+
+
+class FlowState(NamedTuple):
+    """Tuples hold A, B and, where there is a third item, O. 0 means none."""
+
+    versions: tuple = (1, 1, 1)
+    records: tuple = (0, 0, 0)
+    hand_overs: tuple = (0, 0)  # 1 with record 1, 2 with record 2, 3 without
+    completed: tuple = (False, False)
+    relays: tuple = (False, False)
+    replies: tuple = (0, 0)
+    settled: bool = False
+    server: int = 0
+    broken: bool = False
+
+
+def _put(items, position, value):
+    return items[:position] + (value,) + items[position + 1 :]
+
+
+def _forward(state, server):
+    is_broken = state.broken or state.server not in (0, server)
+    return state._replace(server=server, broken=is_broken)
+
+
+def _record(state, host, server):
+    return state._replace(records=_put(state.records, host, server))
+
+
+def _learn(state, host):
+    state = state._replace(versions=_put(state.versions, host, 2))
+    if host == OWNER:
+        return state
+    differs = state.records[host] == 1
+    hand_over = 1 if differs else 3
+    return state._replace(hand_overs=_put(state.hand_overs, host, hand_over))
+
+
+def _receive_hand_over(state, host):
+    if state.hand_overs[host] != 3 and not state.records[OWNER]:
+        state = _record(state, OWNER, state.hand_overs[host])
+    return state._replace(
+        hand_overs=_put(state.hand_overs, host, 0),
+        completed=_put(state.completed, host, True),
+    )
+
+
+def _decide(state, has_settle):
+    if state.records[OWNER]:
+        return state.records[OWNER]
+    if state.versions[OWNER] == 1:
+        return 1
+    return 2 if state.settled or not has_settle else 1
+
+
+def _packet_at_owner(state, has_settle):
+    server = _decide(state, has_settle)
+    return _forward(_record(state, OWNER, server), server)
+
+
+def _packet(state, host, has_owner):
+    if state.records[host]:
+        return _forward(state, state.records[host])
+    if state.versions[host] == 1:
+        return _forward(_record(state, host, 1), 1)
+    if not has_owner:
+        return _forward(_record(state, host, 2), 2)
+    return state._replace(relays=_put(state.relays, host, True))
+
+
+def _receive_relay(state, host, has_settle):
+    state = state._replace(relays=_put(state.relays, host, False))
+    state = _packet_at_owner(state, has_settle)
+    reply = state.records[OWNER]
+    return state._replace(replies=_put(state.replies, host, reply))
+
+
+def _receive_reply(state, host):
+    if not state.records[host]:
+        state = _record(state, host, state.replies[host])
+    return state._replace(replies=_put(state.replies, host, 0))
+
+
+def one_server(has_owner=True, has_settle=True):
+    """Return the model; without owner or settling it must break a flow."""
+
+    def transitions(values):
+        state = FlowState(*values)
+        steps = []
+        for host in (0, 1, OWNER):
+            if state.versions[host] == 1:
+                steps.append((f"learn {host}", _learn(state, host)))
+        for host in (0, 1):
+            steps.append((f"packet {host}", _packet(state, host, has_owner)))
+            if state.hand_overs[host]:
+                steps.append((f"hand over {host}", _receive_hand_over(state, host)))
+            if state.relays[host]:
+                relayed = _receive_relay(state, host, has_settle)
+                steps.append((f"relay {host}", relayed))
+            if state.replies[host]:
+                steps.append((f"reply {host}", _receive_reply(state, host)))
+        steps.append(("packet owner", _packet_at_owner(state, has_settle)))
+        if state.versions[OWNER] == 2 and all(state.completed):
+            steps.append(("settle", state._replace(settled=True)))
+        return [(label, tuple(step)) for label, step in steps]
+
+    return Protocol(
+        name="one flow, one server with uneven versions",
+        candidate=False,
+        fields=FlowState._fields,
+        initial=tuple(FlowState()),
+        transitions=transitions,
+        invariants={"one_server": lambda state: not state["broken"]},
+    )
+
+
+class LeavingState(NamedTuple):
+    """Times are in half seconds since the first host has learned."""
+
+    now: int = 0
+    owner_learned: int = NEVER
+    other_learned: int = NEVER
+    sighted: int = NEVER
+    is_late: bool = False
+
+
+def _deadline(state, has_sighting):
+    deadline = state.owner_learned + SETTLE
+    if has_sighting and state.sighted <= state.owner_learned:
+        deadline = min(deadline, state.sighted + SIGHTING)
+    return deadline
+
+
+def _new_flow(state, at_owner, has_bound, has_sighting):
+    learned = state.owner_learned if at_owner else state.other_learned
+    takes_old = state.now < learned
+    if not takes_old and state.now < state.owner_learned:
+        takes_old = True  # relayed to an owner that has not learned
+    if not takes_old:
+        takes_old = not has_bound or state.now < _deadline(state, has_sighting)
+    is_late = takes_old and state.now > LEAVING_BOUND
+    return state._replace(is_late=state.is_late or is_late)
+
+
+def _can_advance(state):
+    is_converged = max(state.owner_learned, state.other_learned) <= state.now
+    if state.now >= CONVERGED and not is_converged:
+        return False
+    is_sighted = min(state.sighted, state.owner_learned) <= state.now
+    return state.now < LAST_STEP and (state.now < GOSSIP or is_sighted)
+
+
+def leaving_server(has_bound=True, has_sighting=True):
+    """Return the model; without bound or sighting a late flow must appear."""
+
+    def transitions(values):
+        state = LeavingState(*values)
+        now, steps = state.now, []
+        for at_owner in (True, False):
+            step = _new_flow(state, at_owner, has_bound, has_sighting)
+            steps.append((f"new flow {at_owner=}", step))
+        if state.owner_learned == NEVER:
+            steps.append(("owner learns", state._replace(owner_learned=now)))
+            if state.sighted == NEVER:
+                steps.append(("owner sights", state._replace(sighted=now)))
+        if state.other_learned == NEVER:
+            steps.append(("other learns", state._replace(other_learned=now)))
+        if _can_advance(state):
+            steps.append(("half a second", state._replace(now=now + 1)))
+        return [(label, tuple(step)) for label, step in steps]
+
+    return Protocol(
+        name="leaving server gets no new flow",
+        candidate=False,
+        fields=LeavingState._fields,
+        initial=tuple(LeavingState()),
+        transitions=transitions,
+        invariants={"no_late_flow": lambda state: not state["is_late"]},
+    )
