--- a/benchmarks/flow_cluster.py
+++ b/benchmarks/flow_cluster.py
@@ -82,13 +82,14 @@
             more,
         )
         self.address = Address("a", SERVICE, ADDRESS, AddressKind.FLOWS, codec)
+        self.caller_ip = f"10.9.{seed % 256}.1"
         self.now, self.order, self.queue = 0.0, count(), []
         self.hosts: dict[str, Host] = {}
         self.documents = [(1, make_servers(weights))]
         self.left_at: dict[str, float] = {}
         self.flows: list[Flow] = []
         self.fabric: list[str] = []
-        self.packets = self.relays = self.lost = self.late = 0
+        self.packets = self.relays = self.lost = self.late = self.duplicates = 0
         self.control_bytes: dict[int, int] = {}
         entries = [self._entry(i) for i in range(hosts)]
         for entry in entries:
@@ -197,7 +198,7 @@
         """Open flows at random times within some seconds."""
         for _ in range(number):
             position = len(self.flows)
-            caller = Endpoint("10.9.0.1", position)
+            caller = Endpoint(self.caller_ip, position)
             self.flows.append(Flow(caller, position.to_bytes(4, "big")))
             delay = self.random.uniform(0, seconds)
             self.at(delay, self._emit, self.flows[-1], True)
@@ -216,6 +217,10 @@
         if not flow.server_id:
             left_at = self.left_at.get(server.server_id, self.now)
             self.late += self.now - left_at > LEAVING_BOUND_SECONDS
+        elif packet.opens and flow.handle is not None:
+            # A late copy of the opening packet; the caller keeps its handle.
+            self.duplicates += flow.server_id != server.server_id
+            return
         elif flow.server_id != server.server_id:
             self._break(flow, server.server_id)
         flow.server_id = server.server_id
@@ -246,6 +251,7 @@
         self.documents.append((number + 1, servers))
         delays = [self.random.uniform(0, self.skew) for _ in self.hosts]
         for server_id, weight in changes.items():
+            self.left_at.pop(server_id, None)
             if not weight:
                 self.left_at[server_id] = self.now + min(delays)
         for host_id, delay in zip(self.hosts, delays, strict=True):
--- a/hornbeamdeal/steering/_state.py
+++ b/hornbeamdeal/steering/_state.py
@@ -18,13 +18,21 @@
 from ._settling import Completion, Settling
 from ._table import FlowTable
 
+# Flows that have been open for longer may break on hosts that have not seen them.
+HISTORY_SECONDS = 24 * 3600.0
+
 
 class FlowState:
     """Flow records, holders and histories of one host."""
 
     __slots__ = ("routes", "ownership", "settling", "table", "outbox", "replies")
-    __slots__ += ("histories_by_service", "changed_services", "trusted_from")
-    __slots__ += ("version_number", "conflicts", "lost_records")
+    __slots__ += (
+        "histories_by_service",
+        "unsettled",
+        "changed_services",
+        "trusted_from",
+    )
+    __slots__ += ("version_number", "conflicts", "lost_records", "is_stopping")
 
     def __init__(self, routes, ownership, settling, table, outbox, replies):
         self.routes: Routes = routes
@@ -36,6 +44,7 @@
         self.outbox: Outbox = outbox
         self.replies: Outbox = replies
         self.histories_by_service: dict[str, ServiceHistory] = {}
+        self.unsettled: list[ServiceHistory] = []
         # Services whose choices changed since the last complete scan.
         self.changed_services: set[str] = set()
         # Entries last seen before this time predate a pause of this process.
@@ -43,6 +52,9 @@
         self.version_number = 0
         self.conflicts = 0
         self.lost_records = 0
+        # A stopping host still gets packets until the fabric leaves it out; what
+        # it learns from them would be lost.
+        self.is_stopping = False
 
     def update(self, view: View, now: float) -> bool:
         """Take a view; tell whether records have to be handed over."""
@@ -65,6 +77,15 @@
                 self.histories_by_service[service] = ServiceHistory(server_set)
             elif history.change(server_set, now):
                 self.changed_services.add(service)
+                history.expire(now - HISTORY_SECONDS)
+        histories = self.histories_by_service.values()
+        self.unsettled = [h for h in histories if not h.is_settled()]
+
+    def settle_due(self, now: float) -> None:
+        """Settle the changes that need not wait any longer."""
+        if self.unsettled:
+            self.settling.settle_due(self.unsettled, now)
+            self.unsettled = [h for h in self.unsettled if not h.is_settled()]
 
     def server_at(self, slot: int) -> BackendServer | None:
         """Return the server of a record, None where the view lacks it."""
@@ -102,35 +123,41 @@
     def take(self, event: PeerReceived, now: float) -> list[Any]:
         """Take flow records of a peer."""
         message = event.message
-        self.settling.sight(message.version_number, now)
+        number = message.version_number or 0
+        self.settling.sight(number, now)
         for record in message.records or ():
+            # Thrift leaves missing fields at None; 0 marks a free slot.
+            if not record.key or record.server_digest is None:
+                continue
             key, digest = to_unsigned(record.key), to_unsigned(record.server_digest)
-            if key:
-                self._take_record(key, digest, event.host_id, now)
+            self._take_record(key, digest, event.host_id, now)
         if message.complete:
             completion = Completion(
-                event.incarnation, message.version_number, message.version_digest
+                event.incarnation, number, message.version_digest or b""
             )
             self.settling.complete(event.host_id, completion)
         return self.counts()
 
     def _take_record(self, key: int, digest: int, sender: str, now: float) -> None:
         holders = self.ownership.future.holders(key)
+        is_owner = holders.owner == self.ownership.own_id
         slot = self.table.find(key)
         if slot >= 0 and self.is_trusted(slot, now):
             if self.table.digest_at(slot) == digest:
                 self.table.touch(slot, now)
                 return
+            self.conflicts += 1
             # Packets have already followed the record here, so that only the
             # owner's word replaces it.
-            self.conflicts += 1
+            if is_owner:
+                self.replies.add(sender, key, self.table.digest_at(slot))
             if sender != holders.owner:
                 return
         server = self.routes.servers_by_digest.get(digest)
         tracked = server is None or self.differs(server, key)
-        self._put(key, digest, now, tracked and not is_opening_key(key))
-        is_owner = holders.owner == self.ownership.own_id
-        if is_owner and sender != holders.backup and holders.backup:
+        tracked = tracked and not is_opening_key(key)
+        self._put(key, digest, now, tracked)
+        if tracked and is_owner and sender != holders.backup and holders.backup:
             self.replies.add(holders.backup, key, digest)
 
     def _put(self, key: int, digest: int, now: float, tracked: bool) -> None:
