Let refused tickets use freed slots of servers that shed them earlier

Ruled out: ignoring exclusions altogether; a server whose newest result is a failure stays excluded. Change: exclusion does not hold for a just freed slot of a server that does not fail; a success takes back one refusal of the learned limit, not all of them.

--- a/hornbeamdeal/admission/_health.py
+++ b/hornbeamdeal/admission/_health.py
@@ -45,6 +45,10 @@
         self._failure_share += (float(failed) - self._failure_share) * FAILURE_GAIN
         return False
 
+    def is_failing(self) -> bool:
+        """Tell whether the newest result was a failure."""
+        return self._consecutive > 0
+
     def is_outlier(self) -> bool:
         """Tell whether the results justify an ejection."""
         if self.state is not HealthState.HEALTHY:
--- a/hornbeamdeal/admission/_limit.py
+++ b/hornbeamdeal/admission/_limit.py
@@ -44,8 +44,8 @@
             self._refusals += 1
 
     def record_success(self) -> None:
-        """Let the limit recover at the base rate again."""
-        self._refusals = 0
+        """Let the limit recover faster again, one step for each success."""
+        self._refusals = max(0, self._refusals - 1)
 
     def resize(self, slots: int) -> None:
         """Take a new number of slots of the server."""
--- a/hornbeamdeal/admission/_pool.py
+++ b/hornbeamdeal/admission/_pool.py
@@ -209,7 +209,7 @@
     ) -> ServerSlots | None:
         servers = self._allowed_servers(ticket)
         if ticket.excluded:
-            freed = self._find_freed(servers, long, now)
+            freed = self._find_freed(ticket, long, now)
             if freed is not None:
                 return freed
         home = [s for s in servers if s.has_home_slot(long, now)]
@@ -235,13 +235,23 @@
         return bool(self._running) and waited < patience
 
     def _find_freed(
-        self, servers: list[ServerSlots], long: bool, now: float
+        self, ticket: Ticket, long: bool, now: float
     ) -> ServerSlots | None:
-        """Find a slot that a request of this host has just left."""
+        """Find a slot that a request of this host has just left.
+
+        A server that shed the ticket earlier qualifies too, unless requests
+        fail there: in a surge all home servers of a host may have shed it once,
+        and it waited in vain for others until its deadline.
+        """
         if long and self._lanes[True].running >= max(1, self._long_home()):
             return None
-        freed = (s for s in servers if s.is_just_freed(long, now))
-        return next(freed, None)
+        for server in self._servers.values():
+            allowed = server.server.server_id not in ticket.excluded
+            if not allowed and server.health.is_failing():
+                continue
+            if server.is_just_freed(long, now):
+                return server
+        return None
 
     def _allowed_servers(self, ticket: Ticket) -> list[ServerSlots]:
         usable = [s for s in self._servers.values() if s.is_usable()]
