Pause borrowing from a server after a borrowed request ends there

Ruled out: faster probing by owners, since a reuse after 1 ms is always first. Change: the borrower pauses for up to 0.2 s, in proportion to the share of its borrowing that was refused.

--- a/hornbeamdeal/admission/_pool.py
+++ b/hornbeamdeal/admission/_pool.py
@@ -17,6 +17,7 @@
 CHOICES = 2  # sampled servers when borrowing
 SHED_GAIN = 0.02  # weight of the newest borrowing in the shed share
 BORROW_PATIENCE = 6.0  # service times waited when all borrowing is refused
+YIELD_PAUSE = 0.2  # seconds at a shed share of one
 RETRY_PATIENCE = 2.0  # service times a refused ticket waits for a sure slot
 
 
@@ -293,6 +294,9 @@
             return None
         self._lanes[running.long].count_running(-1, now)
         running.server.finish(running.long)
+        if running.borrowed:
+            pause = YIELD_PAUSE * self._shed_share.value
+            running.server.lend_again_at = now + pause
         return running
 
     def _record(self, running: Running, answer: ServerAnswer, now: float) -> None:
--- a/hornbeamdeal/admission/_server.py
+++ b/hornbeamdeal/admission/_server.py
@@ -25,6 +25,7 @@
         "_slow_since",
         "health",
         "home",
+        "lend_again_at",
         "limit",
         "long_running",
         "running",
@@ -38,6 +39,7 @@
         self.home = HomeSlots()
         self.limit = LearnedLimit(server.slots, FOREIGN_MAX_RECOVERY)
         self.health = ServerHealth()
+        self.lend_again_at = -math.inf
         self.running = 0
         self.long_running = 0
         self._freed_at = -math.inf
@@ -76,7 +78,9 @@
 
     def can_lend(self, long: bool, now: float) -> bool:
         """Tell whether a slot of another host, or an unowned one, may be tried."""
-        return self._has_foreign_slot(long, now) and self.aged_load(now) < FULL
+        if now < self.lend_again_at or self.aged_load(now) >= FULL:
+            return False
+        return self._has_foreign_slot(long, now)
 
     def is_just_freed(self, long: bool, now: float) -> bool:
         """Tell whether a request of this host has left a slot a moment ago."""
