Spread home slots over servers; separate limits for own and borrowed slots

Cause: with seven hosts and seven servers each host owned one whole server, and all late refusals at level 1 came from the owner of the cold one. Change: the dealing rotates by slot number; a server has two learned limits; the owner probes a lost slot at least every 80 ms per slot, not 160.

--- a/hornbeamdeal/admission/_home.py
+++ b/hornbeamdeal/admission/_home.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
-from itertools import chain
 
 from hornbeamdeal.kernel import BackendServer
 
@@ -106,9 +105,15 @@
     if not hosts:
         return False
 
+    # The rotation spreads a host's slots over servers: with as many hosts as
+    # servers, one host would otherwise own a whole server and stand still with it.
+    positions = {host_id: place for place, host_id in enumerate(owned_by_host)}
+
     def rank(host):
         owned = owned_by_host[host.host_id]
-        return dealt[host.host_id], len(owned), host.host_id
+        same = sum(own.server is slot.server for own in owned)
+        rotated = (positions[host.host_id] - slot.index) % len(positions)
+        return dealt[host.host_id], len(owned), same, rotated
 
     host_id = min(hosts, key=rank).host_id
     owned_by_host[host_id].append(slot)
@@ -117,7 +122,7 @@
 
 
 def _group_by_server(owned: list[_Slot]) -> dict[str, HomeSlots]:
-    keys = dict.fromkeys(chain(slot.server.server_id for slot in owned))
+    keys = dict.fromkeys(slot.server.server_id for slot in owned)
     grouped = {}
     for key in keys:
         mine = [slot for slot in owned if slot.server.server_id == key]
--- a/hornbeamdeal/admission/_pool.py
+++ b/hornbeamdeal/admission/_pool.py
@@ -109,7 +109,7 @@
         running = self._finish(ticket_id, now)
         if running is None:
             return []
-        running.server.learn(answer, now)
+        running.server.learn(answer, running.borrowed, now)
         self._eject_if_outlier(running.server, now)
         self._record(running, answer, now)
         return self._fill(now)
@@ -235,9 +235,7 @@
         patience = RETRY_PATIENCE * self._lanes[long].service_time.value
         return bool(self._running) and waited < patience
 
-    def _find_freed(
-        self, ticket: Ticket, long: bool, now: float
-    ) -> ServerSlots | None:
+    def _find_freed(self, ticket: Ticket, long: bool, now: float) -> ServerSlots | None:
         """Find a slot that a request of this host has just left.
 
         A server that shed the ticket earlier qualifies too, unless requests
--- a/hornbeamdeal/admission/_server.py
+++ b/hornbeamdeal/admission/_server.py
@@ -11,7 +11,7 @@
 REPORT_AGEING = 0.5  # seconds in which a load report loses most of its weight
 JUST_FREED = 0.002  # seconds in which another host rarely takes a freed slot
 FULL = 0.9  # aged load above which a server counts as full
-HOME_MAX_RECOVERY = 0.16  # seconds per slot; an owner is not kept out for long
+HOME_MAX_RECOVERY = 0.08  # seconds per slot; an owner is not kept out for long
 FOREIGN_MAX_RECOVERY = 1.28  # seconds per slot
 
 
@@ -23,10 +23,11 @@
         "_load",
         "_reported_at",
         "_slow_since",
+        "foreign_limit",
         "health",
         "home",
+        "home_limit",
         "lend_again_at",
-        "limit",
         "long_running",
         "running",
         "server",
@@ -37,7 +38,10 @@
         self.server = server
         self.slow_start = slow_start
         self.home = HomeSlots()
-        self.limit = LearnedLimit(server.slots, FOREIGN_MAX_RECOVERY)
+        # Answers on own slots say nothing about foreign ones, so a single limit
+        # let a busy owner try foreign slots of the same server all the time.
+        self.home_limit = LearnedLimit(server.slots, HOME_MAX_RECOVERY)
+        self.foreign_limit = LearnedLimit(server.slots, FOREIGN_MAX_RECOVERY)
         self.health = ServerHealth()
         self.lend_again_at = -math.inf
         self.running = 0
@@ -54,9 +58,8 @@
             self.begin_slow_start(now)
         self.server = server
         self.home = home
-        self.limit.resize(server.slots)
-        owned = bool(home.indices)
-        self.limit.max_recovery = HOME_MAX_RECOVERY if owned else FOREIGN_MAX_RECOVERY
+        self.home_limit.resize(server.slots)
+        self.foreign_limit.resize(server.slots)
 
     def begin_slow_start(self, now: float) -> None:
         """Open the slots one after another from now on."""
@@ -70,7 +73,7 @@
 
     def has_home_slot(self, long: bool, now: float) -> bool:
         """Tell whether an own slot is free for the kind of work."""
-        if not self._is_open(long, now):
+        if not self._is_open(long) or not self.home_limit.allows(self.running, now):
             return False
         if long and self.long_running >= self.home.long:
             return False
@@ -80,6 +83,8 @@
         """Tell whether a slot of another host, or an unowned one, may be tried."""
         if now < self.lend_again_at or self.aged_load(now) >= FULL:
             return False
+        if not self.foreign_limit.allows(self.running, now):
+            return False
         return self._has_foreign_slot(long, now)
 
     def is_just_freed(self, long: bool, now: float) -> bool:
@@ -107,15 +112,16 @@
         self.running -= 1
         self.long_running -= long
 
-    def learn(self, answer: ServerAnswer, now: float) -> None:
-        """Learn from the end of a request."""
+    def learn(self, answer: ServerAnswer, borrowed: bool, now: float) -> None:
+        """Learn from the end of a request on an own or a borrowed slot."""
+        limit = self.foreign_limit if borrowed else self.home_limit
         if answer.load is not None:
             self._report(answer.load, now)
         if answer.outcome is Outcome.REFUSED:
             self._report(1.0, now)
-            self.limit.record_refusal(self.running, now)
+            limit.record_refusal(self.running, now)
         elif answer.outcome is Outcome.ANSWERED:
-            self.limit.record_success()
+            limit.record_success()
             self._freed_at = now
             self._record_result(False, now)
         elif answer.outcome in (Outcome.FAILED, Outcome.TIMED_OUT):
@@ -130,12 +136,12 @@
         self._reported_at = now
 
     def _has_foreign_slot(self, long: bool, now: float) -> bool:
-        if not self._is_open(long, now) or self._ramp(now) < 1.0:
+        if not self._is_open(long) or self._ramp(now) < 1.0:
             return False
         return not long or self.long_running < max(1, self.server.slots - 1)
 
-    def _is_open(self, long: bool, now: float) -> bool:
-        if not self.is_usable() or not self.limit.allows(self.running, now):
+    def _is_open(self, long: bool) -> bool:
+        if not self.is_usable() or self.running >= self.server.slots:
             return False
         if self.health.state is HealthState.PROBING:
             return self.running == 0 and not long
