--- a/hornbeamdeal/admission/__init__.py
+++ b/hornbeamdeal/admission/__init__.py
@@ -7,6 +7,7 @@
 from ._home import HomeSlots, HostPlace, deal_home_slots, long_slots_by_server
 from ._lane import Lane
 from ._limit import LearnedLimit
+from ._placement import Demand, Placement
 from ._pool import PoolSettings, ServicePool
 from ._queue import FairQueue
 from ._returns import ReturnSchedule
@@ -18,6 +19,7 @@
     "Admission",
     "CallerShares",
     "Decision",
+    "Demand",
     "FairQueue",
     "HealthState",
     "HomeSlots",
@@ -25,6 +27,7 @@
     "Lane",
     "LearnedLimit",
     "LeastLoadedAdmission",
+    "Placement",
     "PoolSettings",
     "RandomAdmission",
     "RefusalReason",
--- a/hornbeamdeal/admission/_lane.py
+++ b/hornbeamdeal/admission/_lane.py
@@ -1,21 +1,17 @@
 """Queue of one kind of work, short or long, bounded by deadlines."""
 
 import math
-from collections.abc import Callable
 from random import Random
-from typing import TypeVar
 
 from ._base import RefusalReason, Refuse, Ticket
 from ._callers import CallerShares
-from ._queue import FairQueue, Waiting
+from ._queue import FairQueue
 from ._returns import ReturnSchedule
 from ._service_times import RunningMean
 
 CONCURRENCY_MEMORY = 0.5  # seconds over which the concurrency is averaged
 MAX_WAITING = 10_000  # bound on memory, far above what deadlines allow
 
-PlaceT = TypeVar("PlaceT")
-
 
 class Lane:
     """Waiting and running tickets of one kind, and their throughput."""
@@ -51,13 +47,14 @@
         self._callers.record_offer(ticket.caller, now)
         reason = self._find_reason(ticket, now)
         if reason is None:
-            self.record_accept(ticket)
+            self.accept(ticket, now)
             self.queue.push(ticket, now)
         return reason
 
-    def record_accept(self, ticket: Ticket) -> None:
+    def accept(self, ticket: Ticket, now: float) -> None:
         """Charge the caller, once for all tries of a request."""
         if not ticket.excluded:
+            self._callers.record_offer(ticket.caller, now)
             self._callers.record_accept(ticket.caller)
 
     def refuse(self, ticket: Ticket, reason: RefusalReason, now: float) -> Refuse:
@@ -81,12 +78,6 @@
             self.queue.remove(ticket.ticket_id)
         return [self.refuse(ticket, reason, now) for ticket in tickets]
 
-    def take(
-        self, now: float, place: Callable[[Waiting], PlaceT | None]
-    ) -> tuple[Ticket, PlaceT] | None:
-        """Take the first ticket that has a place."""
-        return self.queue.take(now, place)
-
     def count_running(self, change: int, now: float) -> None:
         """Count a start (1) or an end (-1)."""
         self._measure(now)
--- a/hornbeamdeal/admission/_server.py
+++ b/hornbeamdeal/admission/_server.py
@@ -71,6 +71,10 @@
             return False
         return self.health.state is not HealthState.EJECTED
 
+    def takes_long_work(self) -> bool:
+        """Tell whether long work may be sent, room aside."""
+        return self.is_usable() and self.health.state is HealthState.HEALTHY
+
     def has_home_slot(self, long: bool, now: float) -> bool:
         """Tell whether an own slot is free for the kind of work."""
         if not self._is_open(long) or not self.home_limit.allows(self.running, now):
--- a/hornbeamdeal/admission/_slot_shares.py
+++ b/hornbeamdeal/admission/_slot_shares.py
@@ -57,7 +57,7 @@
         random_state: int | None = None,
         long_share: float = 1 / 3,
         queue_share: float = 0.5,
-        slow_start: float = 4.0,
+        slow_start: float = 3.0,
         ejected_share: float = 0.3,
         long_ratio: float = 10.0,
         initial_service_time: float = 0.1,
@@ -142,7 +142,6 @@
     def _pool(self, service: str) -> ServicePool:
         if service not in self._pools:
             settings = PoolSettings(
-                long_share=self.long_share,
                 queue_share=self.queue_share,
                 slow_start=self.slow_start,
                 ejected_share=self.ejected_share,
