Test admission: promises, rules, invariants

Cause: the plug-ins had no tests. Ruled out: a simulated cluster; the steps play servers for one host.

--- /dev/null
+++ b/tests/admission/parts.feature
@@ -0,0 +1,32 @@
+Feature: parts of admission
+
+  Scenario: hosts that agree own each slot exactly once
+    Guards against slots without an owner, which only borrowing would find.
+    Then home slots are dealt once each, evenly, for any servers and hosts
+
+  Scenario: a host's slots are spread over servers
+    Guards against a host that owns one whole server and stands still with it.
+    Then 7 hosts with 7 servers of 3 own slots of 3 servers each
+
+  Scenario: slots of the own zone come first
+    Then hosts in 2 zones with 2 servers each own slots of their own zone only
+
+  Scenario: refusals lower a limit that recovers, slower after each refusal
+    Guards against a full server that is tried again and again.
+    Given a learned limit of 3 slots
+    When it is refused with 1 outstanding
+    Then the limit allows 1 but not 2 outstanding
+    And it allows 2 outstanding after 0.02 s
+    When it is refused 5 times with 0 outstanding
+    Then it allows no request after 0.1 s
+    And it allows one after 1 s
+
+  Scenario: refused callers are told places one after another
+    Guards against a second surge of all refused callers at one time.
+    When 100 callers are refused at a throughput of 10 a second
+    Then no second of the times told holds more than 12 of them
+
+  Scenario: what a caller did not use gives no later advantage
+    Guards against a caller that saves up shares and then takes the queue.
+    Given caller shares of one idle caller and one that had 50 accepted
+    Then the idle caller may add 1 ticket to a full queue but not 3
--- /dev/null
+++ b/tests/steps/admission_parts_steps.py
@@ -0,0 +1,140 @@
+"""Steps for the parts of admission."""
+
+from collections import Counter
+from random import Random
+
+from behave import given, then, when
+from hypothesis import given as for_all, settings
+from hypothesis.strategies import integers, lists, sampled_from
+
+from hornbeamdeal.admission import (
+    CallerShares,
+    HostPlace,
+    LearnedLimit,
+    ReturnSchedule,
+    deal_home_slots,
+)
+from hornbeamdeal.kernel import BackendServer, Endpoint
+
+START = 50.0  # seconds
+IDLE, BUSY = Endpoint("::", 1), Endpoint("::", 2)
+
+
+def make_servers(slots, zones):
+    return [
+        BackendServer(f"s{i}", "x", Endpoint("::", i), zone, 1, count)
+        for i, (count, zone) in enumerate(zip(slots, zones, strict=True))
+    ]
+
+
+def deal(servers, hosts):
+    return {h.host_id: deal_home_slots(servers, hosts, h.host_id, 1 / 3) for h in hosts}
+
+
+@then("home slots are dealt once each, evenly, for any servers and hosts")
+def then_dealt_once(context):
+    zones = sampled_from("ab")
+
+    @settings(derandomize=True, database=None, deadline=None)
+    @for_all(lists(integers(1, 5), min_size=1, max_size=6), integers(1, 8), zones)
+    def check(slots, host_count, zone):
+        servers = make_servers(slots, ["a"] * len(slots))
+        places = [HostPlace(f"h{i}", zone if i else "a") for i in range(host_count)]
+        owned = Counter()
+        totals = []
+        for home in deal(servers, places).values():
+            owned.update((key, i) for key, own in home.items() for i in own.indices)
+            totals.append(sum(len(own.indices) for own in home.values()))
+        expected = {(s.server_id, i) for s in servers for i in range(s.slots)}
+        assert set(owned) == expected
+        assert set(owned.values()) == {1}
+        assert max(totals) - min(totals) <= 1, totals
+
+    check()
+
+
+@then(
+    "{hosts:d} hosts with {servers:d} servers of 3 own slots of {spread:d} servers each"
+)
+def then_spread(context, hosts, servers, spread):
+    places = [HostPlace(f"h{i}", "a") for i in range(hosts)]
+    dealt = deal(make_servers([3] * servers, ["a"] * servers), places)
+    assert all(len(home) == spread for home in dealt.values()), dealt
+
+
+@then("hosts in 2 zones with 2 servers each own slots of their own zone only")
+def then_zones(context):
+    servers = make_servers([3] * 4, ["a", "a", "b", "b"])
+    places = [HostPlace(f"h{i}", "ab"[i % 2]) for i in range(4)]
+    dealt = deal(servers, places)
+    for place in places:
+        zones = {servers[int(key[1:])].zone for key in dealt[place.host_id]}
+        assert zones == {place.zone}, (place, zones)
+
+
+@given("a learned limit of {slots:d} slots")
+def given_limit(context, slots):
+    context.limit = LearnedLimit(slots, 1.28)
+
+
+@when("it is refused with {outstanding:d} outstanding")
+def when_refused(context, outstanding):
+    context.limit.record_refusal(outstanding, START)
+
+
+@when("it is refused {count:d} times with 0 outstanding")
+def when_refused_often(context, count):
+    for _ in range(count):
+        context.limit.record_refusal(0, START + 1)
+
+
+@then("the limit allows {fewer:d} but not {more:d} outstanding")
+def then_limit(context, fewer, more):
+    assert context.limit.allows(fewer - 1, START)
+    assert not context.limit.allows(more - 1, START)
+
+
+@then("it allows 2 outstanding after {seconds:g} s")
+def then_recovers(context, seconds):
+    assert context.limit.allows(1, START + seconds + 1e-6)
+
+
+@then("it allows no request after {seconds:g} s")
+def then_none(context, seconds):
+    assert not context.limit.allows(0, START + 1 + seconds)
+
+
+@then("it allows one after {seconds:g} s")
+def then_one(context, seconds):
+    assert context.limit.allows(0, START + 1 + seconds)
+
+
+@when("{count:d} callers are refused at a throughput of {rate:d} a second")
+def when_callers_refused(context, count, rate):
+    schedule = ReturnSchedule(Random(5))
+    context.times = [schedule.retry_after(rate, START) for _ in range(count)]
+
+
+@then("no second of the times told holds more than {count:d} of them")
+def then_places(context, count):
+    by_second = Counter(int(seconds) for seconds in context.times)
+    assert max(by_second.values()) <= count, by_second
+
+
+@given("caller shares of one idle caller and one that had {count:d} accepted")
+def given_shares(context, count):
+    context.shares = CallerShares()
+    for caller in (IDLE, BUSY):
+        context.shares.record_offer(caller, START)
+    for _ in range(count):
+        context.shares.record_accept(BUSY)
+
+
+@then("the idle caller may add {fewer:d} ticket to a full queue but not {more:d}")
+def then_shares(context, fewer, more):
+    for _ in range(fewer):
+        assert context.shares.allows(IDLE, 1.0)
+        context.shares.record_accept(IDLE)
+    for _ in range(more - fewer - 1):
+        context.shares.record_accept(IDLE)
+    assert not context.shares.allows(IDLE, 1.0)
