Test requests by proofs, traces, a state machine and scenarios

Cause: the specification says nothing about the code unless the code is driven against the same invariants. Ruled out: one large simulated cluster; small fakes at the interfaces reach the same interleavings. Found: a relaying host may send "issuer gone" after the issuer's own answer, when the issuer dies within the request's deadline.

--- a/hornbeamdeal/requests/_replay.py
+++ b/hornbeamdeal/requests/_replay.py
@@ -3,7 +3,6 @@
 from dataclasses import replace
 from typing import Any
 
-from hornbeamdeal.admission._base import Decision, RefusalReason, Refuse, Start, Ticket
 from hornbeamdeal.kernel import (
     Address,
     AddressKind,
@@ -19,19 +18,19 @@
     Request,
     RequestReceived,
     SendPeer,
-    ServerAnswer,
     Service,
     View,
     WorkClass,
     create,
 )
 
+from ._replay_admission import DirectAdmission
+
 SERVICE = "reservas"
 ADDRESS = Endpoint("10.1.0.1", 5683)
 CALLER = Endpoint("10.9.0.1", 40000)
 TOKEN_KEY = b"token key of thirty-two bytes..."
 PEER_PORT = 7000
-REFUSAL_RETRY_AFTER = 1.0
 WORK_CLASSES = (
     WorkClass("bookings", "/bookings", 2.0, idempotent=False),
     WorkClass("photos", "/photos", 60.0, idempotent=False, long=True),
@@ -39,75 +38,6 @@
 )
 
 
-class DirectAdmission:
-    """Starts each ticket at the first server that is not excluded.
-
-    While `is_held` is set, tickets wait; `free` starts them.
-    """
-
-    def __init__(self, servers: list[BackendServer]):
-        self.servers = servers
-        self.is_held = False
-        self.is_closed = False
-        self.waiting: dict[int, Ticket] = {}
-        self.started: dict[int, str] = {}
-
-    def update(self, view: View, now: float) -> list[Decision]:
-        """Take a new view; the fake keeps its servers."""
-        return []
-
-    def offer(self, ticket: Ticket, now: float) -> list[Decision]:
-        """Start a ticket, queue it while held, refuse it once closed."""
-        if self.is_closed:
-            return [self._refuse(ticket, RefusalReason.STOPPING)]
-        if self.is_held:
-            self.waiting[ticket.ticket_id] = ticket
-            return []
-        return [self._start(ticket)]
-
-    def release(
-        self, ticket_id: int, answer: ServerAnswer, now: float
-    ) -> list[Decision]:
-        """Free a slot."""
-        del self.started[ticket_id]
-        return []
-
-    def withdraw(self, ticket_id: int, now: float) -> list[Decision]:
-        """Forget a ticket."""
-        self.waiting.pop(ticket_id, None)
-        self.started.pop(ticket_id, None)
-        return []
-
-    def tick(self, now: float) -> list[Decision]:
-        """Start what waits unless tickets are held."""
-        return [] if self.is_held else self.free()
-
-    def free(self) -> list[Decision]:
-        """Start all waiting tickets."""
-        tickets, self.waiting = list(self.waiting.values()), {}
-        return [self._start(ticket) for ticket in tickets]
-
-    def shed(self) -> list[Decision]:
-        """Refuse all waiting tickets."""
-        tickets, self.waiting = list(self.waiting.values()), {}
-        return [self._refuse(ticket, RefusalReason.QUEUE_FULL) for ticket in tickets]
-
-    def close(self, now: float) -> list[Decision]:
-        """Refuse what waits and what comes."""
-        self.is_closed = True
-        tickets, self.waiting = list(self.waiting.values()), {}
-        return [self._refuse(ticket, RefusalReason.STOPPING) for ticket in tickets]
-
-    def _start(self, ticket: Ticket) -> Start:
-        allowed = [s for s in self.servers if s.server_id not in ticket.excluded]
-        server = (allowed or self.servers)[0]
-        self.started[ticket.ticket_id] = server.server_id
-        return Start(ticket, server)
-
-    def _refuse(self, ticket: Ticket, reason: RefusalReason) -> Refuse:
-        return Refuse(ticket, reason, REFUSAL_RETRY_AFTER)
-
-
 def make_servers() -> list[BackendServer]:
     """Return the servers of the replayed service."""
     return [
@@ -218,6 +148,14 @@
         self.carry_out(host_id, actions, now)
         return actions
 
+    def free(self, host_id: str, now: float, *, sheds: bool = False) -> None:
+        """Let a host's admission start, or refuse, all that waits."""
+        dispatcher = self.dispatchers_by_id[host_id]
+        admission = dispatcher.admission
+        admission.is_held = False
+        decisions = admission.shed() if sheds else admission.free()
+        self.carry_out(host_id, dispatcher.tries_.apply(decisions, now), now)
+
     def carry_out(self, host_id: str, actions: list[Any], now: float) -> None:
         """Record what a host does, and deliver what it sends to peers."""
         self.actions += actions
--- a/hornbeamdeal/requests/_trace.py
+++ b/hornbeamdeal/requests/_trace.py
@@ -180,12 +180,10 @@
         self.fleet.dispatchers_by_id[host].admission.is_held = True
 
     def _free(self, entry, host, now) -> None:
-        self.fleet.dispatchers_by_id[host].admission.is_held = False
+        self.fleet.free(host, now)
 
     def _shed(self, entry, host, now) -> None:
-        dispatcher = self.fleet.dispatchers_by_id[host]
-        decisions = dispatcher.admission.shed()
-        self.fleet.carry_out(host, dispatcher.tries_.apply(decisions, now), now)
+        self.fleet.free(host, now, sheds=True)
 
     def _kill(self, entry, host, now) -> None:
         self.fleet.kill(host)
--- /dev/null
+++ b/tests/steps/requests_machine.py
@@ -0,0 +1,200 @@
+"""State machine that drives real dispatchers against the specification."""
+
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    Bundle,
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+)
+
+from hornbeamdeal.kernel import (
+    AnswerStatus,
+    CancelReceived,
+    HostState,
+    Outcome,
+    PauseDetected,
+    RequestReceived,
+    ServerAnswer,
+    ServerAnswered,
+    StopRequested,
+)
+from hornbeamdeal.requests import Limits
+from hornbeamdeal.requests._replay import HostFleet, make_request
+
+HOSTS = st.sampled_from(["a", "b"])
+STATES = [HostState.ALIVE, HostState.ALIVE, HostState.SUSPECT, HostState.DEAD]
+LIMITS = Limits(maximum_tokens=4, maximum_exchanges=5, maximum_stored_bytes=12)
+LONGEST_DEADLINE = 300.0
+STOP_AFTER = 100.0
+
+
+class DispatcherMachine(RuleBasedStateMachine):
+    """Any interleaving of callers, fabric, hosts and servers."""
+
+    plugin = "run_token"
+    jobs = Bundle("jobs")
+
+    def __init__(self):
+        super().__init__()
+        self.fleet = HostFleet({"a": 1, "b": 2}, plugin=self.plugin, limits=LIMITS)
+        self.now = 0.0
+        self.sent = 0
+        self.jobs_by_name = {}
+        self.token_by_job = {}
+        self.runs_by_job = {}
+        self.path_by_job = {}
+        self.taken = set()
+        self.in_transit = []
+        self.checked_dispatches = 0
+
+    def send(self, host, job, **fields):
+        self.sent += 1
+        name = f"n{self.sent}"
+        self.jobs_by_name[name] = job
+        request = make_request(
+            name, payload=job.encode(), message_id=self.sent, **fields
+        )
+        self.fleet.handle(host, RequestReceived(request), self.now)
+        return request
+
+    @rule(target=jobs, host=HOSTS, path=st.sampled_from(["/bookings", "/photos"]))
+    def new_job(self, host, path):
+        job = f"j{len(self.runs_by_job)}"
+        self.runs_by_job[job] = 0
+        self.path_by_job[job] = path
+        self.send(host, job, path=path)
+        token = self.fleet.replies[-1][1].run_token
+        if token is not None:
+            self.token_by_job[job] = token
+        return job
+
+    @rule(job=jobs, hosts=st.lists(HOSTS, min_size=1, max_size=3))
+    def repeat_with_token(self, job, hosts):
+        for host in hosts:
+            if job in self.token_by_job:
+                token = self.token_by_job[job]
+                self.send(host, job, path=self.path_by_job[job], run_token=token)
+
+    @rule(host=HOSTS)
+    def idempotent_request(self, host):
+        self.send(host, f"map{self.sent}", method="GET", path="/map")
+
+    def untaken(self):
+        return [n for n in range(len(self.fleet.dispatches)) if n not in self.taken]
+
+    @precondition(lambda self: self.untaken())
+    @rule(choice=st.integers(0, 9), runs=st.booleans(), arrives=st.booleans())
+    def server_takes(self, choice, runs, arrives):
+        """A server runs or refuses a dispatch once, however late."""
+        position = self.untaken()[choice % len(self.untaken())]
+        self.taken.add(position)
+        host, dispatch = self.fleet.dispatches[position]
+        job = dispatch.request.payload.decode()
+        if runs:
+            self.runs_by_job[job] = self.runs_by_job.get(job, 0) + 1
+        outcome = Outcome.ANSWERED if runs else Outcome.REFUSED
+        answer = ServerAnswer(outcome, payload=dispatch.request.payload)
+        server_id = dispatch.server.server_id
+        event = ServerAnswered(server_id, dispatch.exchange_id, answer)
+        self.in_transit.append((host, event))
+        if arrives:
+            self.fleet.handle(host, event, self.now)
+
+    @rule(position=st.integers(0, 20))
+    def answer_arrives(self, position):
+        """An answer may arrive late, twice, or after a restart of its host."""
+        if self.in_transit:
+            host, event = self.in_transit[position % len(self.in_transit)]
+            self.fleet.handle(host, event, self.now)
+
+    @rule(position=st.integers(0, 20))
+    def answer_is_lost(self, position):
+        if self.fleet.dispatches:
+            host, dispatch = self.fleet.dispatches[
+                position % len(self.fleet.dispatches)
+            ]
+            event = ServerAnswered(
+                dispatch.server.server_id,
+                dispatch.exchange_id,
+                ServerAnswer(Outcome.TIMED_OUT),
+            )
+            self.fleet.handle(host, event, self.now)
+
+    @rule(seconds=st.sampled_from([0.05, 0.5, 3.0, 40.0]), host=HOSTS)
+    def time_passes(self, seconds, host):
+        self.now += seconds
+        self.fleet.tick(host, self.now)
+
+    @rule(seconds=st.sampled_from([1.5, 70.0]), host=HOSTS)
+    def pause(self, seconds, host):
+        self.now += seconds
+        self.fleet.handle(host, PauseDetected(seconds), self.now)
+
+    @rule(host=HOSTS)
+    def hold(self, host):
+        self.fleet.dispatchers_by_id[host].admission.is_held = True
+
+    @rule(host=HOSTS, sheds=st.booleans())
+    def free_or_shed(self, host, sheds):
+        self.fleet.free(host, self.now, sheds=sheds)
+
+    @rule(host=HOSTS)
+    def restart(self, host):
+        incarnation = max(self.fleet.incarnations_by_id.values()) + 1
+        self.fleet.start(host, incarnation, self.now)
+
+    @rule(host=HOSTS, of=HOSTS, state=st.sampled_from(STATES))
+    def view_changes(self, host, of, state):
+        """A host's view may be wrong about its peers."""
+        self.fleet.states_by_id[of] = state
+        self.fleet.update(host, self.now)
+
+    @precondition(lambda self: self.now > STOP_AFTER)
+    @rule(host=HOSTS)
+    def stop(self, host):
+        self.fleet.handle(host, StopRequested(), self.now)
+
+    @rule(host=HOSTS, number=st.integers(1, 20))
+    def cancel(self, host, number):
+        model = make_request("any", message_id=number)
+        event = CancelReceived(model.caller, model.address, number)
+        self.fleet.handle(host, event, self.now)
+
+    @invariant()
+    def runs_at_most_once(self):
+        for job in self.runs_by_job:
+            if job.startswith("j"):
+                assert self.runs_by_job[job] <= 1, f"{job} ran twice"
+
+    @invariant()
+    def replies_are_true(self):
+        for request, answer in self.fleet.replies:
+            job = self.jobs_by_name[request.token.decode()]
+            if answer.status is AnswerStatus.NOT_RUN:
+                assert not self.runs_by_job.get(job), f"{job} ran, 'not run' was said"
+            if answer.status is AnswerStatus.OK:
+                assert answer.payload.decode() == job, f"{job} got {answer.payload}"
+
+    @invariant()
+    def nothing_starts_late(self):
+        for _, dispatch in self.fleet.dispatches[self.checked_dispatches :]:
+            assert dispatch.deadline > self.now, "dispatched after its deadline"
+        self.checked_dispatches = len(self.fleet.dispatches)
+
+    @invariant()
+    def each_message_is_answered_once(self):
+        """A relaying host may add one "issuer gone", which claims nothing."""
+        heard = [(r.token, a.reason == "issuer_gone") for r, a in self.fleet.replies]
+        assert len(heard) == len(set(heard)), "a message got two answers"
+
+    def teardown(self):
+        """No exchange outlives the longest deadline."""
+        self.now += LONGEST_DEADLINE
+        for host in self.fleet.dispatchers_by_id:
+            self.fleet.tick(host, self.now)
+            dispatcher = self.fleet.dispatchers_by_id[host]
+            assert dispatcher.idle_
+            assert not dispatcher.admission.started
+        self.replies_are_true()
--- /dev/null
+++ b/tests/steps/requests_steps.py
@@ -0,0 +1,370 @@
+"""Steps for requests."""
+
+from dataclasses import replace
+from pathlib import Path
+
+from behave import given, then, when
+from hypothesis import HealthCheck, settings
+from hypothesis.stateful import run_state_machine_as_test
+from minicheck import check_safety
+from requests_machine import DispatcherMachine
+
+from hornbeamdeal.admission._base import Start, Ticket
+from hornbeamdeal.kernel import (
+    AcknowledgeRequest,
+    CancelDispatch,
+    Count,
+    Endpoint,
+    HostState,
+    Outcome,
+    ParameterError,
+    RequestReceived,
+    ServerAnswer,
+    ServerAnswered,
+)
+from hornbeamdeal.requests import (
+    Limits,
+    RequestDispatcher,
+    RunToken,
+    TokenSealer,
+    _specification_answers as answers,
+)
+from hornbeamdeal.requests._replay import (
+    ADDRESS,
+    CALLER,
+    SERVICE,
+    TOKEN_KEY,
+    HostFleet,
+    make_request,
+)
+from hornbeamdeal.requests._routing import Route
+from hornbeamdeal.requests._specification import MAXIMUM_STATES, AtMostOnce
+from hornbeamdeal.requests._trace import read_trace, replay_trace
+
+TRACES = Path(__file__).resolve().parents[1] / "requests" / "traces"
+TOKEN = RunToken(7, Endpoint("10.0.0.1", 7000), 2**47 + 5, 3600)
+SETTINGS = settings(
+    derandomize=True,
+    database=None,
+    deadline=None,
+    max_examples=1000,
+    stateful_step_count=50,
+    suppress_health_check=list(HealthCheck),
+)
+
+
+@given("two requests hosts a and b")
+def given_hosts(context):
+    context.fleet = HostFleet({"a": 11, "b": 22}, plugin="run_token")
+
+
+def send(fleet, host, name, now, **fields):
+    return fleet.handle(host, RequestReceived(make_request(name, **fields)), now)
+
+
+def answer(fleet, dispatch, now, outcome=Outcome.ANSWERED, payload=b""):
+    event = ServerAnswered(
+        dispatch.server.server_id,
+        dispatch.exchange_id,
+        ServerAnswer(outcome, payload=payload),
+    )
+    return fleet.handle("a", event, now)
+
+
+def count(fleet, name):
+    return sum(
+        a.amount for a in fleet.actions if isinstance(a, Count) and a.name == name
+    )
+
+
+def replies(fleet):
+    return {r.token.decode(): a for r, a in fleet.replies}
+
+
+@when('the requests specification "{name}" is explored')
+def when_explored(context, name):
+    if name in ("answer_matching", *answers.VARIANTS):
+        variant = "" if name == "answer_matching" else name
+        protocol = answers.AnswerMatching(variant).protocol()
+    else:
+        protocol = AtMostOnce("" if name == "run_token" else name).protocol()
+    context.result = check_safety(protocol, max_states=MAXIMUM_STATES)
+
+
+@then("it is explored exhaustively and holds")
+def then_holds(context):
+    assert context.result["exhaustive"]
+    for name, result in context.result["properties"].items():
+        assert result["holds"] is True, name
+
+
+@then('it has a counterexample to "{name}"')
+def then_counterexample(context, name):
+    result = context.result["properties"][name]
+    assert result["holds"] is False
+    assert result["counterexample"]
+
+
+@when("the requests state machine runs with a fixed seed")
+def when_machine(context):
+    context.failure = None
+    try:
+        run_state_machine_as_test(DispatcherMachine, settings=SETTINGS)
+    except AssertionError as failure:
+        context.failure = failure
+
+
+@then("the requests state machine finds no violation")
+def then_no_violation(context):
+    assert context.failure is None, context.failure
+
+
+@when("all requests traces are replayed")
+def when_replayed(context):
+    paths = sorted(TRACES.glob("*.jsonl"))
+    context.differences_by_name = {
+        path.stem: replay_trace(read_trace(path.read_text()).unwrap()) for path in paths
+    }
+
+
+@then("each requests trace has its stated outcomes")
+def then_stated(context):
+    assert context.differences_by_name
+    for name, differences in context.differences_by_name.items():
+        assert not differences, f"{name}: {differences}"
+
+
+@when("a requests trace with a wrong outcome is replayed")
+def when_wrong_trace(context):
+    text = (TRACES / "own_memory.jsonl").read_text()
+    wrong = read_trace(text.replace('"times": 1', '"times": 2')).unwrap()
+    context.differences = replay_trace(wrong)
+
+
+@then("the requests replay names the difference")
+def then_difference(context):
+    assert "stated" in context.differences[0]
+
+
+@when("a requests trace with a malformed line 2 is read")
+def when_malformed(context):
+    text = (TRACES / "own_memory.jsonl").read_text()
+    header = text.splitlines()[0]
+    context.errors = [read_trace(f"{header}\n{line}").err_value for line in ("{", "{}")]
+
+
+@then("the requests trace error names line 2")
+def then_line(context):
+    assert all("line 2" in str(error) for error in context.errors)
+
+
+@when("a requests token is issued")
+def when_issued(context):
+    context.sealer = TokenSealer(key=TOKEN_KEY)
+    context.sealed = context.sealer.seal(TOKEN, SERVICE, CALLER)
+
+
+@then("the requests token has 40 bytes and opens only for its service and caller")
+def then_bound(context):
+    sealer, sealed = context.sealer, context.sealed
+    assert len(sealed) == 40
+    assert sealer.open(sealed, SERVICE, CALLER) == TOKEN
+    assert sealer.open(sealed, "devoluciones", CALLER) is None
+    assert sealer.open(sealed, SERVICE, replace(CALLER, port=1)) is None
+
+
+@then("no changed byte of the requests token opens")
+def then_no_change(context):
+    for position in range(len(context.sealed)):
+        changed = bytearray(context.sealed)
+        changed[position] ^= 0x01
+        assert context.sealer.open(bytes(changed), SERVICE, CALLER) is None
+
+
+@then("a requests token opens under its previous key and not under a stranger's")
+def then_rotated(context):
+    sealed = TokenSealer(key=TOKEN_KEY).seal(TOKEN, SERVICE, CALLER)
+    rotated = TokenSealer(key=b"new key of sixteen", previous_key=TOKEN_KEY)
+    assert rotated.open(sealed, SERVICE, CALLER) == TOKEN
+    stranger = TokenSealer(key=b"new key of sixteen")
+    assert stranger.open(sealed, SERVICE, CALLER) is None
+
+
+@when("a GET is sent to host a twice")
+def when_get_twice(context):
+    for now in (0.0, 0.1):
+        send(context.fleet, "a", "m1", now, method="GET", path="/map")
+
+
+@then("{dispatches:d} requests dispatch was made and {acks:d} acknowledgements sent")
+def then_dispatches(context, dispatches, acks):
+    sent = [a for a in context.fleet.actions if isinstance(a, AcknowledgeRequest)]
+    assert (len(context.fleet.dispatches), len(sent)) == (dispatches, acks)
+
+
+@when("the server answers the GET")
+def when_get_answered(context):
+    answer(context.fleet, context.fleet.dispatches[0][1], 0.2)
+
+
+@then("{number:d} requests reply was sent")
+def then_replies(context, number):
+    assert len(context.fleet.replies) == number
+
+
+@when("a GET is sent to host a and its answer is overdue")
+def when_overdue(context):
+    send(context.fleet, "a", "m1", 0.0, method="GET", path="/map")
+    context.fleet.tick("a", 0.81)
+    assert len(context.fleet.dispatches) == 1
+    context.fleet.tick("a", 0.86)
+
+
+@then("the first try is cancelled and the second goes to another server")
+def then_second_try(context):
+    (_, first), (_, second) = context.fleet.dispatches
+    assert CancelDispatch(first.server, first.exchange_id) in context.fleet.actions
+    assert first.server != second.server
+    assert first.exchange_id != second.exchange_id
+    assert first.deadline == second.deadline
+
+
+@when("{number:d} GETs are sent to host a and all their answers are lost")
+def when_all_lost(context, number):
+    for position in range(number):
+        send(context.fleet, "a", f"l{position}", 1.0, method="GET", path="/map")
+        dispatch = context.fleet.dispatches[-1][1]
+        answer(context.fleet, dispatch, 1.0, Outcome.TIMED_OUT)
+
+
+@when("{successes:d} GETs succeed at host a and {losses:d} more lose their answers")
+def when_successes(context, successes, losses):
+    for position in range(successes):
+        send(context.fleet, "a", f"s{position}", 1.0, method="GET", path="/map")
+        answer(context.fleet, context.fleet.dispatches[-1][1], 1.0)
+    when_all_lost(context, losses)
+
+
+@then("{number:d} requests retries were counted")
+def then_retries(context, number):
+    assert count(context.fleet, "requests_retried") == number
+
+
+@then("requests paths find these work classes")
+def then_paths(context):
+    router = context.fleet.dispatchers_by_id["a"].router_
+    for row in context.table:
+        route = router.find(make_request("r", path=row["path"]), 0.0)
+        name = route.work_class.name if isinstance(route, Route) else "none"
+        assert name == row["work class"], row["path"]
+
+
+@when("the requests address moves to another service")
+def when_moved(context):
+    dispatcher = context.fleet.dispatchers_by_id["a"]
+    view = context.fleet.view("a")
+    address = replace(view.addresses_by_endpoint[ADDRESS], service="devoluciones")
+    service = replace(view.services_by_name[SERVICE], name="devoluciones")
+    moved = replace(
+        view,
+        services_by_name={"devoluciones": service},
+        addresses_by_endpoint={ADDRESS: address},
+    )
+    dispatcher.update(moved, 10.0)
+
+
+@then('a request in the next 5 s is refused as "{reason}" and later ones are not')
+def then_held(context, reason):
+    send(context.fleet, "a", "early", 14.9)
+    send(context.fleet, "a", "late", 15.1)
+    assert replies(context.fleet)["early"].reason == reason
+    assert replies(context.fleet)["late"].run_token is not None
+
+
+@when("requests admission starts a ticket that has ended")
+def when_stale_start(context):
+    dispatcher = context.fleet.dispatchers_by_id["a"]
+    ticket = Ticket(1, SERVICE, "map", False, CALLER, 5.0)
+    dispatcher.admission.started[1] = "reservas-1"
+    start = Start(ticket, dispatcher.admission.servers[0])
+    context.stale_actions = dispatcher.tries_.apply([start], 0.0)
+
+
+@then("requests admission holds no started ticket")
+def then_no_started(context):
+    assert context.stale_actions == []
+    assert not context.fleet.dispatchers_by_id["a"].admission.started
+
+
+@when("10 bookings of 1000 bytes are answered within 4000 bytes of store")
+def when_stored(context):
+    limits = Limits(maximum_stored_bytes=4000)
+    context.fleet = HostFleet({"a": 11}, plugin="run_token", limits=limits)
+    context.tokens = []
+    for position in range(10):
+        send(context.fleet, "a", f"f{position}", 0.0)
+        token = context.fleet.replies[-1][1].run_token
+        send(context.fleet, "a", f"r{position}", 0.0, run_token=token)
+        answer(context.fleet, context.fleet.dispatches[-1][1], 0.1, payload=b"x" * 1000)
+        context.tokens.append(token)
+
+
+@then("the 4 latest bookings have their answer and the others are unknown")
+def then_latest(context):
+    for position, token in enumerate(context.tokens):
+        send(context.fleet, "a", f"d{position}", 0.2, run_token=token)
+    statuses = [replies(context.fleet)[f"d{n}"].status.value for n in range(10)]
+    assert statuses == ["outcome_unknown"] * 6 + ["ok"] * 4
+
+
+@when("host b relays a request to an issuer missing from its view")
+def when_unknown_issuer(context):
+    fleet = context.fleet
+    send(fleet, "a", "r1", 0.0)
+    token = replies(fleet)["r1"].run_token
+    fleet.kill("a")
+    fleet.incarnations_by_id["a"] = 99
+    fleet.update("b", 0.0)
+    send(fleet, "b", "r2", 0.1, run_token=token)
+    fleet.tick("b", 1.0)
+    assert "r2" not in replies(fleet)
+
+
+@then('its caller hears "{reason}" after 1 s')
+def then_grace(context, reason):
+    context.fleet.tick("b", 1.3)
+    assert replies(context.fleet)["r2"].reason == reason
+
+
+@when("host a restarts between two relays from host b")
+def when_restart_between(context):
+    fleet = context.fleet
+    send(fleet, "a", "r1", 0.0)
+    token = replies(fleet)["r1"].run_token
+    send(fleet, "b", "r2", 0.1, run_token=token)
+    fleet.start("a", 12, 0.2)
+    send(fleet, "b", "r3", 0.3, run_token=token)
+    fleet.states_by_id["a"] = HostState.DEAD
+    fleet.update("b", 0.4)
+
+
+@then('both requests callers hear "{reason}" once')
+def then_once(context, reason):
+    heard = [(r.token, a.reason) for r, a in context.fleet.replies[1:]]
+    assert sorted(heard) == [(b"r2", reason), (b"r3", reason)]
+
+
+@when("a requests dispatcher gets a token key of 3 bytes")
+def when_bad_key(context):
+    dispatcher = RequestDispatcher(
+        admission=None, host_id="a", incarnation=1, endpoint=None, token_key=b"abc"
+    )
+    try:
+        dispatcher.tick(0.0)
+    except ParameterError as error:
+        context.error = error
+
+
+@then('the requests parameter error names "{name}"')
+def then_named(context, name):
+    assert context.error.parameter == name
