--- a/hornbeamdeal/requests/_base.py
+++ b/hornbeamdeal/requests/_base.py
@@ -35,13 +35,16 @@
     RFC 7252 retransmits a confirmable message for 45 s. A moved or retried
     request visits at most three servers, which bounds the load that refusals
     add during a surge. The relay grace covers the gossip delay of an issuer
-    that has just started.
+    that has just started. A kept token takes about 410 bytes and a request in
+    progress about 1.4 KB besides its payload, and a logged relay 510 bytes, so
+    the bounds add up to about 63 MB when all are reached at once.
     """
 
-    maximum_exchanges: int = 20_000
-    maximum_tokens: int = 100_000
-    maximum_stored_bytes: int = 16 * 1024 * 1024
-    maximum_relays: int = 20_000
+    maximum_exchanges: int = 10_000
+    maximum_payload_bytes: int = 16 * 1024 * 1024
+    maximum_tokens: int = 50_000
+    maximum_stored_bytes: int = 8 * 1024 * 1024
+    maximum_relays: int = 10_000
     maximum_waiting: int = 4
     token_lifetime: float = 60.0
     answer_retention: float = 10.0
--- a/hornbeamdeal/requests/_baseline.py
+++ b/hornbeamdeal/requests/_baseline.py
@@ -36,6 +36,6 @@
     def _own_token(self, request: Request, now: float) -> RunToken:
         """Return a token that stands for a caller's message on this host."""
         key = f"{request.caller} {request.address} {request.message_id}"
-        counter = xxhash.xxh3_64_intdigest(key) & COUNTER_MASK
+        counter = xxhash.xxh3_64_intdigest(key.encode()) & COUNTER_MASK
         expiry = int(now + self.limits_.token_lifetime) + 1
         return RunToken(self.incarnation, self.endpoint, counter, expiry)
--- a/hornbeamdeal/requests/_exchange.py
+++ b/hornbeamdeal/requests/_exchange.py
@@ -1,6 +1,7 @@
 """Requests in progress: queued, at a server, or waiting for a retry."""
 
 import heapq
+from dataclasses import replace
 from enum import Enum
 from hashlib import blake2b
 
@@ -32,6 +33,7 @@
         "idempotent",
         "may_have_run",
         "moves",
+        "payload_bytes",
         "retries",
         "route",
         "run",
@@ -43,7 +45,10 @@
     def __init__(
         self, request: Request, route: Route, deadline: float, run: RunRecord | None
     ):
-        self.waiting = [request]
+        # The datagram serves for relaying only; without it a large upload is
+        # held once.
+        self.waiting = [replace(request, datagram=b"")]
+        self.payload_bytes = len(request.payload)
         self.route = route
         self.deadline = deadline
         self.run = run
@@ -79,12 +84,13 @@
 class ExchangeTable:
     """Exchanges by identifier and caller, and the times to look at them."""
 
-    __slots__ = ("by_caller_", "by_id_", "next_id_", "wakeups_")
+    __slots__ = ("by_caller_", "by_id_", "next_id_", "payload_bytes_", "wakeups_")
 
     def __init__(self, *, incarnation: int):
         self.by_id_: dict[int, Exchange] = {}
         self.by_caller_: dict[CallerKey, Exchange] = {}
         self.wakeups_: list[tuple[float, int]] = []
+        self.payload_bytes_ = 0
         self.next_id_ = first_exchange_id(incarnation)
 
     def __len__(self) -> int:
@@ -93,6 +99,7 @@
     def add(self, exchange: Exchange) -> None:
         """Enter a new exchange."""
         self.by_caller_[caller_key(exchange.waiting[0])] = exchange
+        self.payload_bytes_ += exchange.payload_bytes
         self.renew(exchange)
 
     def renew(self, exchange: Exchange) -> None:
@@ -104,8 +111,12 @@
         self.wake(exchange, exchange.deadline)
 
     def attach(self, exchange: Exchange, request: Request) -> None:
-        """Let another message of the caller wait for the same answer."""
-        exchange.waiting.append(request)
+        """Let another message of the caller wait for the same answer.
+
+        Its payload is the same, and is held once.
+        """
+        payload = exchange.waiting[0].payload
+        exchange.waiting.append(replace(request, payload=payload, datagram=b""))
         self.by_caller_[caller_key(request)] = exchange
 
     def find(self, request: Request) -> Exchange | None:
@@ -123,6 +134,7 @@
 
     def remove(self, exchange: Exchange) -> None:
         """Forget an exchange."""
+        self.payload_bytes_ -= exchange.payload_bytes
         del self.by_id_[exchange.exchange_id]
         for request in exchange.waiting:
             key = caller_key(request)
--- a/hornbeamdeal/requests/_relay.py
+++ b/hornbeamdeal/requests/_relay.py
@@ -7,7 +7,7 @@
 unknown" as soon as its view shows the death.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from hornbeamdeal.kernel import Endpoint, HostState, Request, View
 
@@ -18,9 +18,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Relay:
-    """A relayed request; times are in monotonic seconds."""
+    """A relayed request; times are in monotonic seconds.
+
+    The request is kept without its payload; a digest of its datagram tells it
+    from other requests of the caller.
+    """
 
     request: Request
+    datagram_digest: int
     started: float
     deadline: float
 
@@ -66,7 +71,7 @@
         previous = relays.get(key)
         if previous is not None:
             # A retransmission does not restart the grace of an unknown issuer.
-            relays[key] = Relay(relay.request, previous.started, relay.deadline)
+            relays[key] = replace(relay, started=previous.started)
             return True
         if self.count_ >= self.maximum:
             return False
@@ -81,8 +86,8 @@
                 self.count_ -= 1
                 return
 
-    def sweep(self, now: float) -> list[Request]:
-        """Return the requests whose issuer is gone; forget overdue ones."""
+    def sweep(self, now: float) -> list[Relay]:
+        """Return the relays whose issuer is gone; forget overdue ones."""
         if now < self.next_sweep_:
             return []
         self.next_sweep_ = now + SWEEP_SECONDS
@@ -91,12 +96,12 @@
             ended += self._sweep_issuer(incarnation, now)
         return ended
 
-    def end_gone(self, now: float) -> list[Request]:
+    def end_gone(self, now: float) -> list[Relay]:
         """Sweep at once, because the view or a peer brought news."""
         self.next_sweep_ = now
         return self.sweep(now)
 
-    def _sweep_issuer(self, incarnation: int, now: float) -> list[Request]:
+    def _sweep_issuer(self, incarnation: int, now: float) -> list[Relay]:
         relays = self.relays_by_incarnation_[incarnation]
         is_known = incarnation in self.states_by_incarnation_
         is_gone = self.is_gone(incarnation)
@@ -106,7 +111,7 @@
                 not is_known and now >= relay.started + self.grace
             )
             if is_given_up:
-                ended.append(relay.request)
+                ended.append(relay)
             if is_given_up or now >= relay.deadline:
                 del relays[key]
                 self.count_ -= 1
--- a/hornbeamdeal/requests/_relaying.py
+++ b/hornbeamdeal/requests/_relaying.py
@@ -3,6 +3,8 @@
 from dataclasses import replace
 from typing import Any
 
+import xxhash
+
 from hornbeamdeal.kernel import Count, RelayRequest, Request, SendPeer, View
 from hornbeamdeal.wire import peer_types
 
@@ -25,10 +27,17 @@
     return peer_types.IncarnationGone(incarnation, relayed)
 
 
-def _is_same(request: Request, relayed: peer_types.RelayedRequest) -> bool:
-    caller_fits = request.caller.ip == relayed.caller_ip
-    port_fits = request.caller.port == relayed.caller_port
-    return caller_fits and port_fits and request.datagram == relayed.datagram
+def _make_relay(request: Request, deadline: float, now: float) -> Relay:
+    slim = replace(request, payload=b"", datagram=b"")
+    digest = xxhash.xxh3_64_intdigest(request.datagram)
+    return Relay(slim, digest, now, deadline)
+
+
+def _is_same(relay: Relay, relayed: peer_types.RelayedRequest) -> bool:
+    caller = relay.request.caller
+    if (caller.ip, caller.port) != (relayed.caller_ip, relayed.caller_port):
+        return False
+    return relay.datagram_digest == xxhash.xxh3_64_intdigest(relayed.datagram)
 
 
 class Relayer:
@@ -57,7 +66,7 @@
             return self._answer_for_gone(request, token, route)
         if self.log.is_gone(token.incarnation):
             return self._unknown(request, route.service)
-        relay = Relay(request, now, now + route.work_class.deadline)
+        relay = _make_relay(request, now + route.work_class.deadline, now)
         actions: list[Any] = [
             RelayRequest(token.endpoint, replace(request, hops=1)),
             Count("requests_relayed", service=route.service),
@@ -92,8 +101,8 @@
     def _unknown(self, request: Request, service: str = "") -> list[Any]:
         return reply(request, self.answers.unknown(Reason.ISSUER_GONE), service)
 
-    def _end(self, requests: list[Request]) -> list[Any]:
+    def _end(self, relays: list[Relay]) -> list[Any]:
         actions = []
-        for request in requests:
-            actions += self._unknown(request)
+        for relay in relays:
+            actions += self._unknown(relay.request)
         return actions
--- a/hornbeamdeal/requests/_runner.py
+++ b/hornbeamdeal/requests/_runner.py
@@ -35,7 +35,9 @@
     @property
     def is_full(self) -> bool:
         """Tell whether no further exchange can be held."""
-        return len(self.table) >= self.limits.maximum_exchanges
+        if len(self.table) >= self.limits.maximum_exchanges:
+            return True
+        return self.table.payload_bytes_ >= self.limits.maximum_payload_bytes
 
     def start(
         self, request: Request, route: Route, run: RunRecord | None, now: float
--- a/tests/requests/dispatch.feature
+++ b/tests/requests/dispatch.feature
@@ -71,3 +71,9 @@
   Scenario: a bad parameter is named
     When a requests dispatcher gets a token key of 3 bytes
     Then the requests parameter error names "token_key"
+
+  Scenario: the baseline knows duplicates from its own memory alone
+    Guards against a comparison with a baseline that does not run.
+    Given two requests hosts a and b with the plug-in own_memory
+    When a booking is delivered twice to host a and once to host b
+    Then 2 requests dispatches were made
--- a/tests/steps/requests_machine.py
+++ b/tests/steps/requests_machine.py
@@ -196,5 +196,7 @@
             self.fleet.tick(host, self.now)
             dispatcher = self.fleet.dispatchers_by_id[host]
             assert dispatcher.idle_
+            assert dispatcher.runner_.table.payload_bytes_ == 0
+            assert not dispatcher.runner_.table.by_caller_
             assert not dispatcher.admission.started
         self.replies_are_true()
--- a/tests/steps/requests_steps.py
+++ b/tests/steps/requests_steps.py
@@ -58,6 +58,22 @@
     context.fleet = HostFleet({"a": 11, "b": 22}, plugin="run_token")
 
 
+@given("two requests hosts a and b with the plug-in own_memory")
+def given_baseline(context):
+    context.fleet = HostFleet({"a": 11, "b": 22}, plugin="own_memory")
+
+
+@when("a booking is delivered twice to host a and once to host b")
+def when_delivered(context):
+    for host in ("a", "a", "b"):
+        send(context.fleet, host, "r1", 0.0)
+
+
+@then("{number:d} requests dispatches were made")
+def then_made(context, number):
+    assert len(context.fleet.dispatches) == number
+
+
 def send(fleet, host, name, now, **fields):
     return fleet.handle(host, RequestReceived(make_request(name, **fields)), now)
 
