Tighten the tests of the ejection bound and of hasty callers

Change: the ejection scenario looks at the servers in use when all fail (the old one passed with all ejected); the hasty caller offers first in each step.

--- a/tests/admission/slot_shares.feature
+++ b/tests/admission/slot_shares.feature
@@ -98,10 +98,7 @@
     Guards against a host that ejects all servers for a fault of its own.
     Given an admission host with plug-in "slot_shares" and 4 servers of 3
     When servers s0,s1,s2,s3 fail all requests for 5 s of light load
-    And servers s0,s1,s2,s3 fail all requests for 5 s of light load
-    Then at least 0.95 of the later starts went to s0,s1,s2,s3
-    And at most 0.75 of the later starts went to s0,s1
-    And at most 0.75 of the later starts went to s2,s3
+    Then each of 3 servers got some of the starts of the last second
 
   Scenario: long work holds its share and leaves the rest open
     Guards against uploads that take all slots (M3).
--- a/tests/steps/admission_steps.py
+++ b/tests/steps/admission_steps.py
@@ -218,10 +218,11 @@
     played = context.played
 
     def offer_all():
-        for caller in (1, 2, 3, 4, 5):
-            played.offer(caller=caller)
+        # The hasty caller comes first, so it finds each free place first.
         for _ in range(factor):
             played.offer(caller=9)
+        for caller in (1, 2, 3, 4, 5):
+            played.offer(caller=caller)
 
     played.serve(seconds, each=offer_all)
 
@@ -367,6 +368,15 @@
     assert hasty <= factor * sum(counts.values()) / len(counts), (hasty, counts)
 
 
+@then("each of {count:d} servers got some of the starts of the last second")
+def then_in_use(context, count):
+    played = context.played
+    since = played.clock.seconds - 1.0
+    recent = [s for s in played.starts if played.started_at[s.ticket.ticket_id] > since]
+    found = {start.server.server_id for start in recent}
+    assert len(found) >= count, found
+
+
 @then("at most {share:g} of the later starts went to {names}")
 def then_share(context, share, names):
     later = context.played.starts[context.played.starts_before :]
