Add a retry budget to the admission benchmarks

Cause: with six free tries a request, the baselines look good in the crest: up to 99% of their starts are refused, which costs a played server nothing, and the design bounds retries to 10% of the answers. Ruled out: a fixed charge for each refusal on the server; there is no measured value for it.

--- a/benchmarks/_slots.py
+++ b/benchmarks/_slots.py
@@ -35,6 +35,9 @@
 SIGMA = 0.6  # of the logarithm of service times
 COLD_SECONDS = 3.0
 COLD_FACTOR = 5.0
+BUDGET_SHARE = 0.1  # tries after a shed for each answer, where a budget is kept
+BUDGET_FLOOR = 1.0  # further tries a second and host
+BUDGET_CAP = 20.0  # saved tries of a host
 SHED_RETRY_AFTER = 1.0  # seconds told to callers when all tries were refused
 
 
@@ -88,15 +91,45 @@
         return self._history[0][1] / self.server.slots
 
 
+class RetryBudget:
+    """Bound on the tries after a shed of one host, without bound where not kept."""
+
+    def __init__(self, kept: bool):
+        self.kept = kept
+        self.tokens = BUDGET_CAP
+        self.filled_at = 0.0
+
+    def add(self, tokens: float) -> None:
+        """Save tries."""
+        self.tokens = min(BUDGET_CAP, self.tokens + tokens)
+
+    def try_spend(self, now: float) -> bool:
+        """Take one try, or tell that none is left."""
+        self.add((now - self.filled_at) * BUDGET_FLOOR)
+        self.filled_at = now
+        if self.kept and self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
+
+
 class Harness:
     """Hosts, servers and the queue of events between them."""
 
-    def __init__(self, plugin: str, seed: int, lying: int = 2, absent: int = 0):
+    def __init__(
+        self,
+        plugin: str,
+        seed: int,
+        lying: int = 2,
+        absent: int = 0,
+        keeps_budget: bool = False,
+    ):
         self.random = Random(seed)
         self.clock = ManualClock()
         self.jobs: list[Job] = []
         self.sheds = 0
         self.starts = 0
+        self._budgets = [RetryBudget(keeps_budget) for _ in range(HOSTS)]
         self._events: list = []
         self._order = count()
         self._ticket_ids = count()
@@ -214,10 +247,11 @@
         self._apply(self._hosts[index].release(ticket_id, answer, now), index)
         if answer.outcome is Outcome.ANSWERED:
             job.ended_at = now
+            self._budgets[index].add(BUDGET_SHARE)
             return
         self.sheds += 1
         job.excluded.add(server.server.server_id)
-        if job.tries < MAX_TRIES:
+        if job.tries < MAX_TRIES and self._budgets[index].try_spend(now):
             self._offer(job)
         else:
             self._refuse(job, SHED_RETRY_AFTER)
--- a/benchmarks/blocking.py
+++ b/benchmarks/blocking.py
@@ -19,6 +19,7 @@
 SETTLE = 65.0  # seconds in which accepted uploads may still end
 CALLERS = 70
 SEEDS = (1, 2, 3, 4, 5)
+BUDGET_HELP = "bound tries after a shed to 10% of the answers"
 BOUND = 1.5  # of M3
 MAX_REFUSED = 0.001  # a p99 that is met by refusing bookings does not count
 
@@ -38,10 +39,10 @@
     sheds_per_start: float
 
 
-def measure(plugin: str, seed: int) -> BlockingResult:
+def measure(plugin: str, seed: int, keeps_budget: bool) -> BlockingResult:
     """Measure one plug-in with one seed."""
-    without = _run(plugin, seed, 0.0)
-    mixed = _run(plugin, seed, LONG_WORK_SHARE)
+    without = _run(plugin, seed, 0.0, keeps_budget)
+    mixed = _run(plugin, seed, LONG_WORK_SHARE, keeps_budget)
     p99_without, p99_with = _p99(without), _p99(mixed)
     short = [job for job in mixed.jobs if not job.long]
     refused = sum(job.refused_at is not None for job in short)
@@ -61,8 +62,8 @@
     )
 
 
-def _run(plugin: str, seed: int, long_share: float) -> Harness:
-    harness = Harness(plugin, seed)
+def _run(plugin: str, seed: int, long_share: float, keeps_budget: bool) -> Harness:
+    harness = Harness(plugin, seed, keeps_budget=keeps_budget)
     work_rate = UTILISATION * SERVERS * SLOTS
     short_rate = work_rate * (1 - long_share) / MEAN_SHORT
     _arrive(harness, short_rate, False, SHORT_DEADLINE)
@@ -114,9 +115,14 @@
     parser.add_argument("--json", action="store_true")
     parser.add_argument("--plugins", nargs="*", default=plugin_names("admission"))
     parser.add_argument("--seeds", nargs="*", type=int, default=SEEDS)
+    parser.add_argument("--retry-budget", action="store_true", help=BUDGET_HELP)
     parser.add_argument("--workers", type=int, default=2)
     options = parser.parse_args()
-    tasks = [(plugin, seed) for plugin in options.plugins for seed in options.seeds]
+    tasks = [
+        (plugin, seed, options.retry_budget)
+        for plugin in options.plugins
+        for seed in options.seeds
+    ]
     rows = summarise(run_all(measure, tasks, options.workers))
     if options.json:
         print(json.dumps({"hosts": HOSTS, "rows": rows}, indent=2))
--- a/benchmarks/crest.py
+++ b/benchmarks/crest.py
@@ -20,6 +20,7 @@
 )
 
 LEVELS = (1, 2, 5, 10)  # offered load during the surge, as a multiple of capacity
+BUDGET_HELP = "bound tries after a shed to 10% of the answers"
 NORMAL_LEVEL = 0.5
 SURGE_AT = 6.0  # seconds; the cold server joins at the same time
 RAMP = 1.0  # seconds of each swing
@@ -61,9 +62,9 @@
 class Surge:
     """Callers of one run: normal load, a surge, and normal load again."""
 
-    def __init__(self, plugin: str, level: float, seed: int):
+    def __init__(self, plugin: str, level: float, seed: int, keeps_budget: bool):
         self.level = level
-        self.harness = Harness(plugin, seed, absent=1)
+        self.harness = Harness(plugin, seed, absent=1, keeps_budget=keeps_budget)
         self.returned: list[Job] = []
         self._returns_by_job: dict[Job, int] = {}
         self._random = self.harness.random
@@ -114,9 +115,9 @@
     return caller < AT_ONCE_SHARE * CALLERS
 
 
-def measure(plugin: str, level: float, seed: int) -> CrestResult:
+def measure(plugin: str, level: float, seed: int, keeps_budget: bool) -> CrestResult:
     """Measure one plug-in at one level with one seed."""
-    surge = Surge(plugin, level, seed)
+    surge = Surge(plugin, level, seed, keeps_budget)
     surge.run()
     jobs = surge.harness.jobs
     harness = surge.harness
@@ -241,10 +242,11 @@
     parser.add_argument("--plugins", nargs="*", default=plugin_names("admission"))
     parser.add_argument("--levels", nargs="*", type=float, default=LEVELS)
     parser.add_argument("--seeds", nargs="*", type=int, default=SEEDS)
+    parser.add_argument("--retry-budget", action="store_true", help=BUDGET_HELP)
     parser.add_argument("--workers", type=int, default=2)
     options = parser.parse_args()
     tasks = [
-        (plugin, level, seed)
+        (plugin, level, seed, options.retry_budget)
         for plugin in options.plugins
         for level in options.levels
         for seed in options.seeds
