Add membership and dissemination components with a stepping harness

Cause: entry hosts need to know each other and to agree on the greatest document and host list without shared state. Ruled out: declaring members dead on a peer's word, since one isolated host would remove the others; incarnations drawn at random, since two incarnations of one host could not be ordered; gossip of deaths, since every host that heard of a suspicion runs its own timer. Change: SWIM membership, dissemination by offers and segments, kernel values HostListInUse and AnnouncePause, an in-memory stepping harness.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the project's own components."""
--- /dev/null
+++ b/hornbeamdeal/dissemination/_platform.py
@@ -0,0 +1,121 @@
+"""Reads and watches of the platform, with bounded rates."""
+
+import random
+from dataclasses import dataclass
+
+from hornbeamdeal.kernel import PlatformRead, ReadPlatform
+
+MANIFEST_KEY = "document/manifest"
+SEGMENT_KEY_PREFIX = "document/segments/"
+HOSTS_KEY = "hosts"
+# The platform holds a watch for 30 s; an answer later than that was lost.
+CALL_LIFETIME_SECONDS = 40.0
+FIRST_RETRY_SECONDS = 0.5
+LONGEST_RETRY_SECONDS = 10.0
+# A stale platform may answer a watch at once with an old revision.
+UNCHANGED_DELAY_SECONDS = 1.0
+# New hosts after a mass replacement read the platform at different moments.
+START_SPREAD_SECONDS = 0.5
+# 36 readers at this rate stay under the platform's 2,000 reads a second.
+SEGMENT_READS_PER_SECOND = 30.0
+OUTSTANDING_SEGMENT_READS = 8
+SEGMENT_READ_TIMEOUT_SECONDS = 2.0
+
+
+@dataclass(slots=True)
+class KeyWatch:
+    """Calls for one key."""
+
+    due: float
+    called_at: float | None = None
+    revision: int | None = None
+    failures: int = 0
+
+
+class PlatformReader:
+    """Decides when a key of the platform is read or watched."""
+
+    __slots__ = ("random", "watches_by_key", "_due_by_segment", "_tokens", "_refilled")
+
+    def __init__(self, generator: random.Random, now: float):
+        self.random = generator
+        self.watches_by_key = {
+            key: KeyWatch(now + generator.uniform(0, START_SPREAD_SECONDS))
+            for key in (MANIFEST_KEY, HOSTS_KEY)
+        }
+        self._due_by_segment: dict[bytes, float] = {}
+        self._tokens = SEGMENT_READS_PER_SECOND
+        self._refilled = now
+
+    def due_calls(
+        self, may_watch: bool, is_starting: bool, now: float
+    ) -> list[ReadPlatform]:
+        """Return the calls to make now: watches of readers, reads of new hosts."""
+        calls = []
+        for key, watch in self.watches_by_key.items():
+            may_call = may_watch or (is_starting and watch.revision is None)
+            if not may_call or not self._is_due(watch, now):
+                continue
+            watch.called_at = now
+            calls.append(ReadPlatform(key, watch.revision if may_watch else None))
+        return calls
+
+    def take_answer(self, event: PlatformRead, now: float) -> bool:
+        """Plan the next call; return False where the answer is an error."""
+        watch = self.watches_by_key[event.key]
+        started = now if watch.called_at is None else watch.called_at
+        watch.called_at = None
+        if event.error:
+            watch.failures += 1
+            watch.due = now + self._retry_delay(watch.failures)
+            return False
+        watch.failures = 0
+        changed = event.revision != watch.revision
+        quick = now - started < UNCHANGED_DELAY_SECONDS
+        watch.due = now + (UNCHANGED_DELAY_SECONDS if quick and not changed else 0.0)
+        watch.revision = event.revision
+        return True
+
+    def read_again(self, key: str, now: float) -> None:
+        """Read a key anew whose last value could not be used."""
+        watch = self.watches_by_key[key]
+        watch.revision = None
+        watch.due = now + UNCHANGED_DELAY_SECONDS
+
+    def segment_calls(
+        self, missing: list[bytes], now: float
+    ) -> list[tuple[bytes, ReadPlatform]]:
+        """Return reads of missing segments within the rate, with their digests."""
+        self._refill(now)
+        expired = [d for d, due in self._due_by_segment.items() if due <= now]
+        for digest in expired:
+            del self._due_by_segment[digest]
+        free = OUTSTANDING_SEGMENT_READS - len(self._due_by_segment)
+        wanted = [d for d in missing if d not in self._due_by_segment]
+        self.random.shuffle(wanted)
+        chosen = wanted[: max(0, min(free, int(self._tokens)))]
+        self._tokens -= len(chosen)
+        for digest in chosen:
+            self._due_by_segment[digest] = now + SEGMENT_READ_TIMEOUT_SECONDS
+        return [(d, ReadPlatform(SEGMENT_KEY_PREFIX + d.hex())) for d in chosen]
+
+    def note_segment(self, digest: bytes, failed: bool, now: float) -> None:
+        """Take the end of a segment's read; a failed one waits for a retry."""
+        if failed:
+            self._due_by_segment[digest] = now + FIRST_RETRY_SECONDS
+        else:
+            self._due_by_segment.pop(digest, None)
+
+    def _is_due(self, watch: KeyWatch, now: float) -> bool:
+        if watch.called_at is not None:
+            return now - watch.called_at >= CALL_LIFETIME_SECONDS
+        return now >= watch.due
+
+    def _retry_delay(self, failures: int) -> float:
+        delay = min(LONGEST_RETRY_SECONDS, FIRST_RETRY_SECONDS * 2 ** (failures - 1))
+        return delay * self.random.uniform(0.5, 1.0)
+
+    def _refill(self, now: float) -> None:
+        gained = (now - self._refilled) * SEGMENT_READS_PER_SECOND
+        self._tokens = min(SEGMENT_READS_PER_SECOND, self._tokens + gained)
+        self._refilled = now
--- a/hornbeamdeal/kernel/__init__.py
+++ b/hornbeamdeal/kernel/__init__.py
@@ -2,6 +2,7 @@
 
 from ._actions import (
     AcknowledgeRequest,
+    AnnouncePause,
     CancelDispatch,
     Count,
     Dispatch,
@@ -21,6 +22,7 @@
 from ._errors import HornbeamdealError, ParameterError, UnknownPluginError
 from ._events import (
     CancelReceived,
+    HostListInUse,
     PacketReceived,
     PauseDetected,
     PeerReceived,
@@ -56,6 +58,7 @@
     "AcknowledgeRequest",
     "Address",
     "AddressKind",
+    "AnnouncePause",
     "Answer",
     "AnswerStatus",
     "BackendServer",
@@ -72,6 +75,7 @@
     "FlowPacket",
     "ForwardPacket",
     "HornbeamdealError",
+    "HostListInUse",
     "HostState",
     "LogEvent",
     "ManualClock",
--- a/hornbeamdeal/kernel/_actions.py
+++ b/hornbeamdeal/kernel/_actions.py
@@ -101,6 +101,15 @@
     """The set or the states of known entry hosts changed."""
 
 
+@dataclass(frozen=True, slots=True)
+class AnnouncePause:
+    """Hand `PauseDetected` to all components: a peer suspected this host.
+
+    The monotonic clock of a frozen machine may stand still, so a pause can
+    pass without a gap between two ticks.
+    """
+
+
 @dataclass(frozen=True, slots=True)
 class Count:
     """Add to a counter. `name` is one of the metrics in `observability`."""
--- a/hornbeamdeal/kernel/_events.py
+++ b/hornbeamdeal/kernel/_events.py
@@ -74,6 +74,14 @@
     """An operator asked for a graceful shutdown."""
 
 
+@dataclass(frozen=True, slots=True)
+class HostListInUse:
+    """A newer host list is in use; `entry_endpoints` are its entry hosts."""
+
+    revision: int
+    entry_endpoints: tuple[Endpoint, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class VersionInForce:
     """A new document is in force on this host."""
--- /dev/null
+++ b/hornbeamdeal/membership/_prober.py
@@ -0,0 +1,139 @@
+"""Failure detection by direct and indirect probes."""
+
+from dataclasses import dataclass
+
+from hornbeamdeal.kernel import Endpoint, EntryHost
+
+from ._messages import Messenger
+from ._records import from_wire
+from ._table import MemberTable
+
+# Shares of the probe interval. A round trip within a region takes a few
+# milliseconds; a quarter of a second leaves room for a collection pause of the
+# answering process, and the rest for the way through peers.
+DIRECT_SHARE = 0.25
+VERDICT_SHARE = 0.7
+INDIRECT_PEERS = 3
+RELAY_LIFETIME_SECONDS = 2.0
+
+
+@dataclass(slots=True)
+class Probe:
+    """The probe of the current interval."""
+
+    target: EntryHost
+    nonces: set[int]
+    indirect_due: float
+    verdict_due: float
+    asked_peers: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class RelayedProbe:
+    """A probe made for a peer."""
+
+    requester_id: str
+    requester: Endpoint
+    nonce: int
+    expires: float
+
+
+class Prober:
+    """Probes one member per interval in shuffled round robin (SWIM, 4.3)."""
+
+    __slots__ = (
+        "interval",
+        "messenger",
+        "next_due",
+        "probe",
+        "relayed_by_nonce",
+        "table",
+        "_round",
+    )
+
+    def __init__(self, messenger: Messenger, interval: float, now: float):
+        self.messenger = messenger
+        self.table: MemberTable = messenger.table
+        self.interval = interval
+        self.next_due = now + self.table.random.uniform(0, interval)
+        self.probe: Probe | None = None
+        self.relayed_by_nonce: dict[int, RelayedProbe] = {}
+        self._round: list[str] = []
+
+    def tick(self, now: float) -> EntryHost | None:
+        """Do what is due; return the target of a probe that failed."""
+        probe = self.probe
+        if probe and not probe.asked_peers and now >= probe.indirect_due:
+            self._ask_peers(probe)
+        failed = None
+        if probe and now >= probe.verdict_due:
+            self.probe = None
+            failed = probe.target
+        if now >= self.next_due:
+            self.next_due = now + self.interval
+            self._expire_relays(now)
+            self._start_probe(now)
+        return failed
+
+    def cancel(self) -> None:
+        """Drop the current probe: nothing follows from it."""
+        self.probe = None
+
+    def note_contact(self, host_id: str) -> None:
+        """Count any message from the target as an answer."""
+        if self.probe and self.probe.target.host_id == host_id:
+            self.probe = None
+
+    def note_reply(self, nonce: int, now: float) -> None:
+        """Take an answer to an own probe or to one made for a peer."""
+        if self.probe and nonce in self.probe.nonces:
+            self.probe = None
+        relayed = self.relayed_by_nonce.pop(nonce, None)
+        if relayed and now < relayed.expires:
+            self.messenger.reply(relayed.requester_id, relayed.requester, relayed.nonce)
+
+    def probe_for(self, requester_id: str, requester: Endpoint, request, now) -> None:
+        """Probe a third host for a peer."""
+        target = from_wire(request.target) if request.target else None
+        if target is None or target.host_id == self.table.own_id:
+            return
+        nonce = self.messenger.ping(target)
+        self.relayed_by_nonce[nonce] = RelayedProbe(
+            requester_id, requester, request.nonce, now + RELAY_LIFETIME_SECONDS
+        )
+
+    def _start_probe(self, now: float) -> None:
+        target = self._next_target()
+        self.probe = None
+        if target is not None:
+            nonce = self.messenger.ping(target)
+            self.probe = Probe(
+                target,
+                {nonce},
+                indirect_due=now + DIRECT_SHARE * self.interval,
+                verdict_due=now + VERDICT_SHARE * self.interval,
+            )
+
+    def _ask_peers(self, probe: Probe) -> None:
+        probe.asked_peers = True
+        probe.nonces.add(self.messenger.ping(probe.target))
+        nonce = min(probe.nonces)
+        helpers = self.table.sample_peers(INDIRECT_PEERS, probe.target.host_id)
+        for helper in helpers:
+            self.messenger.ask_to_probe(helper, probe.target, nonce)
+
+    def _next_target(self) -> EntryHost | None:
+        for _ in range(2):
+            reachable = set(self.table.peer_ids())
+            while self._round:
+                host_id = self._round.pop()
+                if host_id in reachable:
+                    return self.table.members_by_id[host_id]
+            self._round = list(self.table.peer_ids())
+            self.table.random.shuffle(self._round)
+        return None
+
+    def _expire_relays(self, now: float) -> None:
+        expired = [n for n, r in self.relayed_by_nonce.items() if r.expires <= now]
+        for nonce in expired:
+            del self.relayed_by_nonce[nonce]
--- /dev/null
+++ b/hornbeamdeal/membership/_table.py
@@ -0,0 +1,189 @@
+"""Table of the region's members and the rules by which claims change it."""
+
+import random
+from dataclasses import replace
+from typing import Any
+
+from hornbeamdeal.kernel import Count, EntryHost, HostState, LogEvent, Version
+
+from ._records import claim_rank, merge_records
+from ._updates import UpdateQueue
+
+REACHABLE_STATES = (HostState.ALIVE, HostState.SUSPECT, HostState.LEAVING)
+
+
+class MemberTable:
+    """Records of all members, the own one included.
+
+    A claim that a member is dead never changes its state: each host relies on
+    its own suspicion timer, so one isolated host cannot remove the others.
+    Such claims are kept in `doubts_by_id` and checked with the member itself.
+    """
+
+    __slots__ = (
+        "changed",
+        "dead_since_by_id",
+        "doubts_by_id",
+        "members_by_id",
+        "outbox",
+        "own_id",
+        "random",
+        "refuted",
+        "revived",
+        "superseded",
+        "suspect_since_by_id",
+        "updates",
+        "version_changed",
+        "_peer_ids",
+    )
+
+    def __init__(self, own: EntryHost, generator: random.Random):
+        self.own_id = own.host_id
+        self.random = generator
+        self.members_by_id = {own.host_id: own}
+        self.suspect_since_by_id: dict[str, float] = {}
+        self.dead_since_by_id: dict[str, float] = {}
+        self.doubts_by_id: dict[str, EntryHost] = {}
+        self.updates = UpdateQueue()
+        self.outbox: list[Any] = []
+        self.changed = True
+        self.version_changed = False
+        self.refuted = False
+        self.revived: set[str] = set()
+        self.superseded = False
+        self._peer_ids: list[str] | None = None
+        self.updates.put(own.host_id, urgent=True)
+
+    @property
+    def own(self) -> EntryHost:
+        """Return the own record."""
+        return self.members_by_id[self.own_id]
+
+    def peer_ids(self) -> list[str]:
+        """Return the reachable members without the own host."""
+        if self._peer_ids is None:
+            self._peer_ids = [
+                host_id
+                for host_id, member in self.members_by_id.items()
+                if host_id != self.own_id and member.state in REACHABLE_STATES
+            ]
+        return self._peer_ids
+
+    def sample_peers(self, count: int, excluded: str = "") -> list[EntryHost]:
+        """Return up to `count` random reachable peers."""
+        peer_ids = self.peer_ids()
+        drawn = self.random.sample(peer_ids, min(count + 1, len(peer_ids)))
+        chosen = [host_id for host_id in drawn if host_id != excluded][:count]
+        return [self.members_by_id[host_id] for host_id in chosen]
+
+    def set_own(self, state: HostState, version: Version | None) -> None:
+        """Change the own state or version; a new state raises the sequence."""
+        own = self.own
+        if own.state is not state:
+            own = replace(own, state=state, sequence=own.sequence + 1)
+        is_urgent = own.state is not self.own.state
+        self._store(replace(own, version=version), is_urgent)
+
+    def absorb(self, claim: EntryHost, now: float) -> None:
+        """Take a claim on a member that came from a peer."""
+        if claim.host_id == self.own_id:
+            self._absorb_own(claim)
+            return
+        known = self.members_by_id.get(claim.host_id)
+        if claim.state is HostState.DEAD:
+            self._absorb_death(known, claim)
+            return
+        if known is None:
+            self._change(claim, now)
+            return
+        merged = merge_records(known, claim)
+        if claim_rank(merged) != claim_rank(known):
+            self._change(merged, now)
+        elif merged.version != known.version:
+            self._store(merged, urgent=False)
+
+    def suspect(self, host_id: str, now: float) -> None:
+        """Suspect a member that answered neither directly nor through peers."""
+        member = self.members_by_id.get(host_id)
+        if member is None or host_id in self.suspect_since_by_id:
+            return
+        if member.state is HostState.ALIVE:
+            self.outbox.append(Count("membership_suspicions", "probe_failed"))
+            self._change(replace(member, state=HostState.SUSPECT), now)
+        elif member.state is HostState.LEAVING:
+            self.suspect_since_by_id[host_id] = now
+
+    def declare_dead(self, host_id: str, now: float) -> None:
+        """Declare a member dead whose suspicion was not refuted."""
+        self.outbox.append(Count("membership_deaths", "suspicion_expired"))
+        dead = replace(self.members_by_id[host_id], state=HostState.DEAD)
+        self._change(dead, now)
+
+    def forget_dead(self, before: float) -> None:
+        """Drop the records of members that have been dead since `before`."""
+        since_by_id = self.dead_since_by_id
+        for host_id in [i for i, since in since_by_id.items() if since < before]:
+            del since_by_id[host_id]
+            del self.members_by_id[host_id]
+            self.changed = True
+
+    def _absorb_own(self, claim: EntryHost) -> None:
+        own = self.own
+        if claim.incarnation > own.incarnation:
+            self._note_superseded(claim)
+            return
+        accused = claim.state in (HostState.SUSPECT, HostState.DEAD)
+        if not accused or claim_rank(claim) <= claim_rank(own):
+            return
+        self.outbox.append(Count("membership_refutations", claim.state.value))
+        self._store(replace(own, sequence=claim.sequence + 1), urgent=True)
+        self.refuted = True
+
+    def _note_superseded(self, claim: EntryHost) -> None:
+        if self.superseded:
+            return
+        self.superseded = True
+        self.outbox.append(Count("membership_superseded"))
+        fields = {"host": self.own_id, "by_incarnation": claim.incarnation}
+        self.outbox.append(LogEvent("member_superseded", fields, "error"))
+
+    def _absorb_death(self, known: EntryHost | None, claim: EntryHost) -> None:
+        if known is None or known.state is HostState.DEAD:
+            return
+        if claim_rank(claim) > claim_rank(known):
+            self.doubts_by_id[claim.host_id] = claim
+
+    def _change(self, member: EntryHost, now: float) -> None:
+        known = self.members_by_id.get(member.host_id)
+        self._keep_timers(member, now)
+        if known is not None and known.state is HostState.DEAD:
+            self.revived.add(member.host_id)
+        if known is None or known.state is not member.state:
+            self._log(member)
+        self._store(member, urgent=member.state is not HostState.DEAD)
+
+    def _keep_timers(self, member: EntryHost, now: float) -> None:
+        host_id = member.host_id
+        self.suspect_since_by_id.pop(host_id, None)
+        self.dead_since_by_id.pop(host_id, None)
+        if member.state is HostState.SUSPECT:
+            self.suspect_since_by_id[host_id] = now
+        elif member.state is HostState.DEAD:
+            self.dead_since_by_id[host_id] = now
+            self.updates.discard(host_id)
+
+    def _log(self, member: EntryHost) -> None:
+        fields = {"host": member.host_id, "zone": member.zone}
+        fields["incarnation"] = member.incarnation
+        self.outbox.append(LogEvent(f"member_{member.state.value}", fields))
+
+    def _store(self, member: EntryHost, urgent: bool) -> None:
+        known = self.members_by_id.get(member.host_id)
+        self.members_by_id[member.host_id] = member
+        if known is not None and claim_rank(known) == claim_rank(member):
+            self.version_changed = True
+        else:
+            self.changed = True
+            self._peer_ids = None
+        if member.state is not HostState.DEAD:
+            self.updates.put(member.host_id, urgent)
