Check membership and dissemination by features and two specifications

Ruled out: a cluster simulator; the tests step the real components of 7 to 40 hosts over in-memory links. Change: features for membership and dissemination, random faults by hypothesis, minicheck specifications of the configuration order and of a paused member, each with variants that yield counterexamples.

--- a/benchmarks/fleet_harness.py
+++ b/benchmarks/fleet_harness.py
@@ -69,6 +69,7 @@
         self.platform = PlatformStandIn(self._schedule)
         self.hosts: dict[str, Host] = {}
         self.reverted: list[tuple] = []
+        self.announced_pauses = 0
         self.size = size
         self.zones = zones
         self._queue: list = []
@@ -101,8 +102,12 @@
         seeds = tuple(self._endpoint(i) for i in range(min(3, self.size)))
         host = Host(
             record,
-            Membership(own=record, seeds=seeds, random_state=self.random.random()),
-            Dissemination(own_id=host_id, zone=zone, random_state=self.random.random()),
+            Membership(
+                own=record, seeds=seeds, random_state=self.random.getrandbits(32)
+            ),
+            Dissemination(
+                own_id=host_id, zone=zone, random_state=self.random.getrandbits(32)
+            ),
             PeerCodec(
                 host_id=host_id,
                 incarnation=incarnation,
@@ -185,6 +190,7 @@
             view = kernel.View(own.host_id, own.zone, host.version, hosts_by_id=members)
             self._carry_out(host, host.dissemination.update(view, self.now))
         elif isinstance(action, kernel.AnnouncePause):
+            self.announced_pauses += 1
             self._handle(host, kernel.PauseDetected(0.0))
         elif isinstance(action, kernel.Count):
             host.counters[action.name] += action.amount
@@ -205,6 +211,8 @@
         data = host.codec.encode(action.message)
         host.counters["sent_messages"] += 1
         host.counters["sent_bytes"] += len(data)
+        kind = "largest_bulk" if action.bulk else "largest_datagram"
+        host.counters[kind] = max(host.counters[kind], len(data))
         link = self.link
         copies = 2 if self.random.random() < link.duplication else 1
         for _ in range(copies):
--- /dev/null
+++ b/tests/membership/membership.feature
@@ -0,0 +1,83 @@
+Feature: membership of a region
+
+  Scenario: hosts that start together find each other
+    Guards against joins that are lost when no host knows any other yet.
+    Given a membership fleet of 20 hosts that starts
+    Then within 10 s each member knows 20 usable members
+
+  Scenario: a killed host is removed everywhere
+    Given a settled membership fleet of 20 hosts
+    When membership host 4 is killed
+    Then within 9 s no member regards host 4 as usable
+
+  Scenario: a leaving host is known as leaving within a second
+    Guards against new work for a host that stops as planned.
+    Given a settled membership fleet of 20 hosts
+    When membership host 4 is told to stop
+    Then within 1 s no member regards host 4 as usable
+
+  Scenario: a paused host does not hold its pause against others
+    Guards against a woken host that declares everyone dead.
+    Given a settled membership fleet of 7 hosts
+    When membership host 4 is paused for 8 s
+    Then for 20 s member 4 regards 6 others as usable
+    And within 1 s each member knows 7 usable members
+
+  Scenario: a frozen clock is noticed through a peer's suspicion
+    Guards against pauses in which the monotonic clock stands still.
+    Given a settled membership fleet of 7 hosts
+    When a peer tells membership host 4 that it suspects it
+    Then a membership pause is announced
+
+  Scenario: an isolated host keeps its view for a while
+    Guards against an own fault that empties the view at once.
+    Given a settled membership fleet of 7 hosts
+    When membership host 4 is cut off from all others
+    Then for 10 s member 4 regards 4 others as usable
+    When all membership links work again
+    Then within 10 s each member knows 7 usable members
+
+  Scenario: the two sides of a long partition find each other again
+    Guards against dead records that nobody contacts any more.
+    Given a settled membership fleet of 20 hosts
+    When membership zone zone-1 is cut off for 60 s
+    Then no host of membership zone zone-1 is usable outside it
+    And within 20 s each member knows 20 usable members
+
+  Scenario: a new incarnation replaces the older one
+    Given a settled membership fleet of 7 hosts
+    When membership host 4 is replaced
+    Then within 5 s each member knows the new incarnation of host 4
+    And the old incarnation of membership host 4 is told that it is superseded
+
+  Scenario: one host's claims of deaths remove nobody
+    Guards against a host with a broken view that empties those of others.
+    Given a settled membership fleet of 7 hosts
+    When membership host 4 receives claims that all others are dead
+    Then for 10 s member 4 regards 6 others as usable
+
+  Scenario: hardly any false alarm with a tenth of the datagrams lost
+    Given a settled membership fleet of 20 hosts
+    When a tenth of the membership datagrams is lost for 60 s
+    Then at most 5 membership deaths were declared
+
+  Scenario: datagrams stay under the limit of 1,200 bytes
+    Given a settled membership fleet of 40 hosts
+    When membership hosts 0 to 19 are replaced at once
+    Then within 20 s each member knows 40 usable members
+    And no membership datagram was above 1200 bytes
+
+  Scenario: merged claims do not depend on their order
+    Then any three membership claims merge to one record in any order
+
+  Scenario: malformed member records are ignored
+    Then membership records with missing or wrong fields are refused
+
+  Scenario: each zone elects two readers, and another one when a reader dies
+    Given 12 membership hosts in 3 zones
+    Then each membership zone elects two readers in any order of the hosts
+    And the loss of a membership reader elects one more host and keeps the other
+
+  Scenario: the specification of a paused member holds
+    Then the paused member specification holds in all states
+    And without the restart of timers it has a counterexample
--- /dev/null
+++ b/tests/steps/dissemination_steps.py
@@ -0,0 +1,419 @@
+"""Steps for dissemination."""
+
+import json
+import sys
+from pathlib import Path
+
+from behave import given, then, when
+from hypothesis import given as for_all, settings, strategies as st
+from minicheck import check_safety
+
+from hornbeamdeal.dissemination import Dissemination, digest_of
+from hornbeamdeal.kernel import (
+    Count,
+    Endpoint,
+    PeerReceived,
+    PlatformRead,
+    PutInForce,
+)
+from hornbeamdeal.wire import peer_types
+
+ROOT = Path(__file__).resolve().parents[2]
+sys.path[:0] = [str(ROOT), str(ROOT / "tests")]
+
+from specs import configuration  # noqa: E402
+
+from benchmarks.fleet_harness import Fleet, Link  # noqa: E402
+from benchmarks.fleet_platform import change_segment, make_segments  # noqa: E402
+
+PEER = Endpoint("10.0.0.2", 7000)
+CONTENT = b"document of a lone component"
+HOST_LIST = b'{"entry_hosts": {}}'
+
+
+def make_host_list(count, changed=-1):
+    targets = {
+        f"reservas-{i}": {"ip": "10.1.0.1", "port": 1 if i == changed else 2, "n": i}
+        for i in range(count)
+    }
+    return json.dumps({"targets": targets}).encode()
+
+
+def start_fleet(size, random_state=1, segments=20, segment_bytes=1000):
+    fleet = Fleet(size, random_state=random_state)
+    fleet.segments = make_segments(segments, segment_bytes)
+    fleet.platform.put("hosts", make_host_list(2000))
+    fleet.version = fleet.platform.publish(1, fleet.segments)
+    fleet.start_all()
+    return fleet
+
+
+def all_ready(fleet):
+    return all(host.dissemination.ready_ for host in fleet.live)
+
+
+def all_use(fleet, version):
+    return all(host.version == version for host in fleet.live)
+
+
+def publish(fleet, number, text=b"changed"):
+    fleet.version = fleet.platform.publish(
+        number, change_segment(fleet.segments, 3, text)
+    )
+
+
+def count(fleet, name):
+    return sum(host.counters[name] for host in fleet.live)
+
+
+@given("a settled dissemination fleet of {size:d} hosts")
+def given_settled(context, size):
+    given_large(context, size, 20, 1000)
+
+
+@given(
+    "a settled dissemination fleet of {size:d} hosts "
+    "with {segments:d} segments of {length:d} bytes"
+)
+def given_large(context, size, segments, length):
+    context.fleet = start_fleet(size, segments=segments, segment_bytes=length)
+    assert context.fleet.run(20, lambda: all_ready(context.fleet))
+    context.fleet.run(30)
+    for host in context.fleet.live:
+        host.counters.clear()
+
+
+@when("operators publish document {number:d} with one changed segment")
+def when_published(context, number):
+    publish(context.fleet, number)
+
+
+@when("operators publish two different documents {number:d} at the same time")
+def when_race(context, number):
+    platform = context.fleet.platform
+    variants = [change_segment(context.fleet.segments, 3, t) for t in (b"a", b"b")]
+    variants.sort(key=lambda segments: digest_of(b"".join(segments)))
+    # The greater document comes first, so its readers see the lesser one later.
+    context.fleet.version = platform.publish(number, variants[1])
+    context.fleet.run(0.2)
+    platform.publish(number, variants[0])
+
+
+@when("operators publish a faulty document {number:d}")
+def when_faulty(context, number):
+    context.fleet.platform.publish(number, [*context.fleet.segments, b"faulty"])
+
+
+@when('all dissemination hosts refuse documents that contain "{text}"')
+def when_checked(context, text):
+    def check(content):
+        return "contains a fault" if text.encode() in content else ""
+
+    for host in context.fleet.live:
+        topics = host.dissemination._progress.topics_by_name
+        topics["document"].check = check
+
+
+@when("dissemination hosts {first:d} to {last:d} are replaced at once")
+def when_replaced(context, first, last):
+    for index in range(first, last + 1):
+        context.fleet.start(index)
+
+
+@when("the platform goes back to document {number:d}")
+def when_platform_back(context, number):
+    context.fleet.platform.publish(number, context.fleet.segments)
+
+
+@when("the platform is down")
+def when_down(context):
+    context.fleet.platform.is_down = True
+
+
+@when("dissemination zone {zone} is cut off from others and the platform")
+def when_cut(context, zone):
+    context.fleet.link.is_cut = lambda a, b: (a.zone == zone) != (b.zone == zone)
+    context.fleet.platform.is_unreachable = lambda host: host.zone == zone
+
+
+@when("the dissemination links work again after {seconds:d} s")
+def when_healed(context, seconds):
+    context.fleet.run(seconds)
+    context.fleet.link = Link()
+    context.fleet.platform.is_unreachable = None
+
+
+@when("all dissemination readers are killed")
+def when_readers_killed(context):
+    for host in [h for h in context.fleet.live if h.dissemination.is_reader_]:
+        context.fleet.kill(host)
+
+
+@when("{seconds:d} s pass in the dissemination fleet")
+def when_time(context, seconds):
+    context.fleet.run(seconds)
+
+
+@when("the platform's host list of 2000 targets changes one entry")
+def when_host_list(context):
+    context.fleet.platform.put("hosts", make_host_list(2000, changed=700))
+
+
+@then("within {seconds:d} s document {number:d} is in force on all hosts")
+@then("within {seconds:d} s the greater document {number:d} is in force on all hosts")
+def then_in_force(context, seconds, number):
+    fleet = context.fleet
+    assert fleet.version.number == number
+    assert fleet.run(seconds, lambda: all_use(fleet, fleet.version))
+    assert not fleet.reverted
+
+
+@then("document {number:d} is in force on all hosts for {seconds:d} s")
+@then("document {number:d} stays in force on all hosts for {seconds:d} s")
+def then_stays(context, number, seconds):
+    fleet = context.fleet
+    fleet.run(seconds)
+    assert {host.version.number for host in fleet.live} == {number}
+    assert not fleet.reverted
+
+
+@then("within {seconds:d} s document {number:d} is in force outside {zone} only")
+def then_outside(context, seconds, number, zone):
+    fleet = context.fleet
+    outside = [h for h in fleet.live if h.record.zone != zone]
+    fleet.run(seconds)
+    assert all(host.version.number == number for host in outside)
+    inside = [h for h in fleet.live if h.record.zone == zone]
+    assert all(host.version.number < number for host in inside)
+
+
+@then("within {seconds:d} s all dissemination hosts are ready")
+def then_ready(context, seconds):
+    assert context.fleet.run(seconds, lambda: all_ready(context.fleet))
+
+
+@then("no dissemination host is ready")
+def then_not_ready(context):
+    assert not any(h.dissemination.ready_ for h in context.fleet.live)
+
+
+@then("each dissemination host received less than {limit:d} bytes for it")
+def then_bytes(context, limit):
+    received = [h.counters["received_bytes"] for h in context.fleet.live]
+    assert max(received) < limit, max(received)
+
+
+@then("two dissemination hosts a zone watch the platform")
+def then_readers(context):
+    zones = [h.record.zone for h in context.fleet.live if h.dissemination.is_reader_]
+    assert sorted(zones) == [f"zone-{i // 2}" for i in range(6)]
+
+
+@then("a dissemination version conflict was counted")
+def then_conflict(context):
+    assert count(context.fleet, "dissemination_version_conflicts") > 0
+
+
+@then("no dissemination datagram was above {datagram:d} bytes, no other above {bulk:d}")
+def then_bounded(context, datagram, bulk):
+    for host in context.fleet.live:
+        assert host.counters["largest_datagram"] <= datagram
+        assert host.counters["largest_bulk"] <= bulk
+
+
+@then(
+    "each dissemination host uses it within {seconds:d} s "
+    "and received less than {limit:d} bytes"
+)
+def then_host_list(context, seconds, limit):
+    def use_it():
+        versions = [h.dissemination.host_list_version_ for h in context.fleet.live]
+        return all(version.number == 2 for version in versions)
+
+    assert context.fleet.run(seconds, use_it)
+    then_bytes(context, limit)
+
+
+@then("{many:d} settled dissemination hosts make as many platform calls as {few:d}")
+def then_calls(context, many, few):
+    calls = []
+    for size in (few, many):
+        given_settled(context, size)
+        context.fleet.platform.calls.clear()
+        context.fleet.run(120)
+        calls.append(sum(context.fleet.platform.calls.values()))
+    assert calls[0] == calls[1], calls
+
+
+def lone_component(context):
+    context.lone = Dissemination(own_id="lone", zone="z", random_state=1)
+    context.actions = context.lone.tick(0.0)
+    context.digest = digest_of(CONTENT)
+
+
+def receive(context, message, now=0.1):
+    event = PeerReceived("peer", 1, PEER, message)
+    context.actions += context.lone.handle(event, now)
+
+
+def receive_whole(context, topic, content):
+    digest = digest_of(content)
+    receive(context, peer_types.Manifest(topic, 1, digest, [digest]))
+    receive(context, peer_types.Segments([peer_types.Segment(digest, content)]))
+
+
+@given("a lone dissemination component that a peer gave a document and host list")
+def given_lone(context):
+    lone_component(context)
+    receive_whole(context, "document", CONTENT)
+    receive_whole(context, "hosts", HOST_LIST)
+    assert context.lone.version_.digest == context.digest
+
+
+@given("a lone dissemination component that wants a segment")
+def given_lone_wanting(context):
+    lone_component(context)
+    manifest = peer_types.Manifest("document", 1, context.digest, [context.digest])
+    receive(context, manifest)
+
+
+@when("the platform names a newer manifest whose segments cannot be read")
+def when_newer_named(context):
+    digest = digest_of(b"another").hex()
+    fields = {"version": 2, "digest": digest, "segments": [digest]}
+    value = json.dumps(fields).encode()
+    event = PlatformRead("document/manifest", value, 1)
+    context.lone.handle(event, 0.2)
+
+
+@when("a peer sends it a dissemination segment with wrong bytes")
+def when_wrong_bytes(context):
+    segment = peer_types.Segment(context.digest, CONTENT + b"!")
+    receive(context, peer_types.Segments([segment]))
+
+
+@when("a peer sends it segments that are not those of the document")
+def when_wrong_manifest(context):
+    lone_component(context)
+    other = digest_of(b"other")
+    receive(context, peer_types.Manifest("document", 1, context.digest, [other]))
+    receive(context, peer_types.Segments([peer_types.Segment(other, b"other")]))
+
+
+@then("it is not ready after {seconds:f} s of dissemination")
+def then_lone_not_ready(context, seconds):
+    context.lone.tick(seconds)
+    assert not context.lone.ready_
+
+
+@then("it is ready after {seconds:f} s of dissemination")
+def then_lone_ready(context, seconds):
+    context.lone.tick(seconds)
+    assert context.lone.ready_
+
+
+@then("it puts no document in force and counts a bad segment")
+def then_bad_segment(context):
+    then_nothing(context, "dissemination_bad_segments")
+
+
+@then("it puts no document in force and counts bad content")
+def then_bad_content(context):
+    then_nothing(context, "dissemination_bad_content")
+
+
+def then_nothing(context, counter):
+    assert context.lone.version_ is None
+    assert not [a for a in context.actions if isinstance(a, PutInForce)]
+    counted = [a.name for a in context.actions if isinstance(a, Count)]
+    assert counter in counted, counted
+
+
+def cut_hosts(fleet, host):
+    fleet.link.is_cut = lambda a, b: (a is host.record) != (b is host.record)
+
+
+def cut_zone(fleet, host):
+    zone = host.record.zone
+    fleet.link.is_cut = lambda a, b: (a.zone == zone) != (b.zone == zone)
+    fleet.platform.is_unreachable = lambda record: record.zone == zone
+
+
+def publish_next(fleet, host):
+    number = fleet.version.number + 1
+    publish(fleet, number, f"{number} {fleet.now}".encode())
+
+
+def publish_race(fleet, host):
+    number = fleet.version.number
+    publish(fleet, number, f"{number} {fleet.now}".encode())
+
+
+FAULTS = {
+    "cut host": cut_hosts,
+    "cut zone": cut_zone,
+    "freeze platform": lambda fleet, host: fleet.platform.freeze(),
+    "pause": lambda fleet, host: fleet.pause(host, 3.0),
+    "publish": publish_next,
+    "race": publish_race,
+    "replace": lambda fleet, host: fleet.start(int(host.record.host_id[5:])),
+    "thaw platform": lambda fleet, host: fleet.platform.thaw(),
+}
+
+
+def run_faults(seed, faults):
+    fleet = start_fleet(8, random_state=seed)
+    fleet.run(10)
+    fleet.link = Link(loss=0.1, duplication=0.1, jitter=0.2)
+    for name, index, wait in faults:
+        FAULTS[name](fleet, list(fleet.hosts.values())[index])
+        fleet.run(wait)
+    fleet.link = Link()
+    fleet.platform.is_unreachable = None
+    fleet.platform.thaw()
+    for host in fleet.live:
+        host.paused_until = 0.0
+    agreed = fleet.run(3, lambda: len({host.version for host in fleet.live}) == 1)
+    assert agreed, [str(host.version) for host in fleet.live]
+    assert not fleet.reverted, fleet.reverted
+    least = max((fleet.version.number, fleet.version.digest), (0, b""))
+    current = fleet.live[0].version
+    assert (current.number, current.digest) >= least, (current, fleet.version)
+
+
+@then("dissemination fleets agree within 3 s after random faults")
+def then_agree(context):
+    fault = st.tuples(
+        st.sampled_from(sorted(FAULTS)), st.integers(0, 7), st.sampled_from((0.1, 1, 4))
+    )
+
+    @settings(max_examples=60, derandomize=True, deadline=None)
+    @for_all(st.integers(1, 10**6), st.lists(fault, min_size=1, max_size=8))
+    def check(seed, faults):
+        run_faults(seed, faults)
+
+    check()
+
+
+def check_configuration(model):
+    result = check_safety(model, max_states=1_000_000)
+    assert result["exhaustive"]
+    return result["properties"]
+
+
+@then("the configuration specification holds in all states")
+def then_specification(context):
+    properties = check_configuration(configuration.build())
+    assert all(p["holds"] is True for p in properties.values()), properties
+
+
+@then("without the order rule a dissemination host reverts")
+def then_reverts(context):
+    properties = check_configuration(configuration.WITHOUT_ORDER_RULE)
+    assert properties["never_reverts"]["counterexample"]
+
+
+@then("without the tie break a dissemination race never ends")
+def then_race(context):
+    properties = check_configuration(configuration.WITHOUT_TIE_BREAK)
+    assert properties["rest_means_agreement"]["counterexample"]
--- /dev/null
+++ b/tests/steps/membership_steps.py
@@ -0,0 +1,292 @@
+"""Steps for membership."""
+
+import sys
+from dataclasses import replace
+from itertools import permutations
+from pathlib import Path
+
+from behave import given, then, when
+from hypothesis import given as for_all, settings, strategies as st
+from minicheck import check_safety
+
+from hornbeamdeal.kernel import (
+    Endpoint,
+    EntryHost,
+    HostState,
+    PeerReceived,
+    StopRequested,
+    Version,
+)
+from hornbeamdeal.membership import (
+    Membership,
+    elect_readers,
+    from_wire,
+    merge_records,
+    to_wire,
+)
+from hornbeamdeal.wire import peer_types
+
+ROOT = Path(__file__).resolve().parents[2]
+sys.path[:0] = [str(ROOT), str(ROOT / "tests")]
+
+from specs import paused_member  # noqa: E402
+
+from benchmarks.fleet_harness import Fleet, Link  # noqa: E402
+
+
+def host_at(context, index):
+    return list(context.fleet.hosts.values())[index]
+
+
+def all_know(fleet, count):
+    return all(len(host.live_peers) == count for host in fleet.live)
+
+
+@given("a membership fleet of {size:d} hosts that starts")
+def given_starting(context, size):
+    context.fleet = Fleet(size)
+    context.fleet.start_all()
+
+
+@given("a settled membership fleet of {size:d} hosts")
+def given_settled(context, size):
+    given_starting(context, size)
+    assert context.fleet.run(30, lambda: all_know(context.fleet, size))
+    context.fleet.run(5)
+
+
+@given("{count:d} membership hosts in {zones:d} zones")
+def given_hosts(context, count, zones):
+    context.hosts = [
+        EntryHost(f"h{i}", 1, Endpoint("10.0.0.1", i), f"zone-{i % zones}")
+        for i in range(count)
+    ]
+
+
+@when("membership host {index:d} is killed")
+def when_killed(context, index):
+    context.fleet.kill(host_at(context, index))
+
+
+@when("membership host {index:d} is told to stop")
+def when_stopped(context, index):
+    context.fleet._handle(host_at(context, index), StopRequested())
+
+
+@when("membership host {index:d} is paused for {seconds:d} s")
+def when_paused(context, index, seconds):
+    context.fleet.pause(host_at(context, index), seconds)
+
+
+@when("a peer tells membership host {index:d} that it suspects it")
+def when_told(context, index):
+    host = host_at(context, index)
+    tell(context, host, [replace(host.record, state=HostState.SUSPECT)])
+
+
+@when("membership host {index:d} receives claims that all others are dead")
+def when_claims(context, index):
+    host = host_at(context, index)
+    members = host.membership.members_.values()
+    tell(context, host, [replace(m, state=HostState.DEAD) for m in members])
+
+
+def tell(context, host, claims):
+    sender = host_at(context, 0).record
+    message = peer_types.JoinReply([to_wire(claim) for claim in claims])
+    event = PeerReceived(sender.host_id, sender.incarnation, sender.endpoint, message)
+    context.fleet._handle(host, event)
+
+
+@when("membership host {index:d} is cut off from all others")
+def when_isolated(context, index):
+    isolated = host_at(context, index).record.host_id
+    context.fleet.link.is_cut = lambda a, b: isolated in (a.host_id, b.host_id)
+
+
+@when("all membership links work again")
+def when_healed(context):
+    context.fleet.link = Link()
+
+
+@when("membership zone {zone} is cut off for {seconds:d} s")
+def when_zone_cut(context, zone, seconds):
+    fleet = context.fleet
+    fleet.link.is_cut = lambda a, b: (a.zone == zone) != (b.zone == zone)
+    fleet.run(seconds)
+    context.usable_in_partition = [(h.record, h.live_peers) for h in fleet.live]
+    fleet.link = Link()
+
+
+@when("membership host {index:d} is replaced")
+def when_replaced(context, index):
+    context.old = host_at(context, index)
+    context.new = context.fleet.start(index)
+
+
+@when("a tenth of the membership datagrams is lost for {seconds:d} s")
+def when_lossy(context, seconds):
+    context.fleet.link.loss = 0.1
+    context.fleet.run(seconds)
+
+
+@when("membership hosts {first:d} to {last:d} are replaced at once")
+def when_mass_replaced(context, first, last):
+    for index in range(first, last + 1):
+        context.fleet.start(index)
+
+
+@then("within {seconds:d} s each member knows {count:d} usable members")
+def then_all_know(context, seconds, count):
+    assert context.fleet.run(seconds, lambda: all_know(context.fleet, count)), [
+        len(host.live_peers) for host in context.fleet.live
+    ]
+
+
+@then("within {seconds:d} s no member regards host {index:d} as usable")
+def then_unusable(context, seconds, index):
+    host_id = host_at(context, index).record.host_id
+    others = [h for h in context.fleet.live if h.record.host_id != host_id]
+    assert context.fleet.run(
+        seconds, lambda: all(host_id not in h.live_peers for h in others)
+    )
+
+
+@then("for {seconds:d} s member {index:d} regards {count:d} others as usable")
+def then_keeps(context, seconds, index, count):
+    host = host_at(context, index)
+    lost = context.fleet.run(seconds, lambda: len(host.live_peers) - 1 < count)
+    assert not lost, host.live_peers
+
+
+@then("a membership pause is announced")
+def then_announced(context):
+    assert context.fleet.announced_pauses == 1
+
+
+@then("no host of membership zone {zone} is usable outside it")
+def then_partitioned(context, zone):
+    for record, usable in context.usable_in_partition:
+        zones = {context.fleet.hosts[host_id].record.zone for host_id in usable}
+        assert (zones == {zone}) if record.zone == zone else zone not in zones
+
+
+@then("within {seconds:d} s each member knows the new incarnation of host {index:d}")
+def then_incarnation(context, seconds, index):
+    record = context.new.record
+    known = [h.membership for h in context.fleet.live]
+    assert context.fleet.run(
+        seconds,
+        lambda: all(
+            m.members_[record.host_id].incarnation == record.incarnation for m in known
+        ),
+    )
+
+
+@then("the old incarnation of membership host {index:d} is told that it is superseded")
+def then_superseded(context, index):
+    peer = host_at(context, 0)
+    old = context.old
+    event = PeerReceived(
+        old.record.host_id,
+        old.record.incarnation,
+        old.record.endpoint,
+        peer_types.Ping(1, [to_wire(old.record)]),
+    )
+    (answer,) = peer.membership.handle(event, context.fleet.now)
+    sender = peer.record
+    told = PeerReceived(
+        sender.host_id, sender.incarnation, sender.endpoint, answer.message
+    )
+    old.membership.handle(told, context.fleet.now)
+    assert old.membership.superseded_
+    current = peer.membership.members_[old.record.host_id].incarnation
+    assert current == context.new.record.incarnation
+
+
+@then("at most {count:d} membership deaths were declared")
+def then_few_deaths(context, count):
+    deaths = sum(h.counters["membership_deaths"] for h in context.fleet.live)
+    assert deaths <= count, deaths
+
+
+@then("no membership datagram was above {size:d} bytes")
+def then_small(context, size):
+    largest = max(h.counters["largest_datagram"] for h in context.fleet.live)
+    assert largest <= size, largest
+
+
+claims = st.builds(
+    EntryHost,
+    host_id=st.just("h"),
+    incarnation=st.integers(1, 2),
+    endpoint=st.just(Endpoint("10.0.0.1", 1)),
+    zone=st.just("z"),
+    state=st.sampled_from(HostState),
+    version=st.one_of(st.none(), st.builds(Version, st.integers(1, 2), st.just(b"d"))),
+    sequence=st.integers(0, 2),
+)
+
+
+@then("any three membership claims merge to one record in any order")
+def then_merge(context):
+    @settings(max_examples=300, derandomize=True, deadline=None)
+    @for_all(st.tuples(claims, claims, claims))
+    def check(drawn):
+        merged = {
+            merge_records(merge_records(a, b), c) for a, b, c in permutations(drawn)
+        }
+        assert len(merged) == 1, merged
+
+    check()
+
+
+@then("membership records with missing or wrong fields are refused")
+def then_refused(context):
+    host = EntryHost("h", 1, Endpoint("10.0.0.1", 1), "z")
+    assert from_wire(to_wire(host)) == host
+    for name in ("host_id", "incarnation", "ip", "port", "state", "sequence"):
+        record = to_wire(host)
+        setattr(record, name, None)
+        assert from_wire(record) is None, name
+    record = to_wire(host)
+    record.state = 4
+    assert from_wire(record) is None
+    member = Membership(own=host, random_state=1)
+    message = peer_types.Ping(1, [peer_types.MemberRecord()])
+    member.handle(PeerReceived("x", 1, Endpoint("10.0.0.1", 2), message), 0.0)
+    assert set(member.members_) == {"h"}
+
+
+@then("each membership zone elects two readers in any order of the hosts")
+def then_elected(context):
+    hosts = context.hosts
+    for zone in {host.zone for host in hosts}:
+        readers = elect_readers(hosts, zone)
+        assert len(readers) == 2
+        assert readers == elect_readers(reversed(hosts), zone)
+        assert {host.zone for host in readers} == {zone}
+
+
+@then("the loss of a membership reader elects one more host and keeps the other")
+def then_takeover(context):
+    first, second = elect_readers(context.hosts, "zone-0")
+    dead = replace(first, state=HostState.DEAD)
+    hosts = [dead if host is first else host for host in context.hosts]
+    readers = elect_readers(hosts, "zone-0")
+    assert readers[0] == second
+    assert readers[1] not in (first, dead)
+
+
+@then("the paused member specification holds in all states")
+def then_specification(context):
+    result = check_safety(paused_member.build())
+    assert result["exhaustive"]
+    assert result["properties"]["reachable_member_stays"]["holds"] is True
+
+
+@then("without the restart of timers it has a counterexample")
+def then_counterexample(context):
+    result = check_safety(paused_member.WITHOUT_RESTART)
+    trace = result["properties"]["reachable_member_stays"]["counterexample"]
+    assert trace[-1]["label"] == "expire"
