--- a/hornbeamdeal/requests/_trace.py
+++ b/hornbeamdeal/requests/_trace.py
@@ -69,22 +69,28 @@
     for number, line in enumerate(text.splitlines(), start=1):
         try:
             entry = json.loads(line)
-        except json.JSONDecodeError as error:
-            return Err(TraceError(number, f"is not JSON ({error.msg})"))
-        if trace is None:
-            if (entry.get("trace"), entry.get("version")) != ("requests", 1):
-                return Err(TraceError(number, "is not a header of version 1"))
-            limits = Limits(**entry.get("limits", {}))
-            trace = Trace(entry["title"], entry["hosts"], limits)
-        elif "event" in entry:
-            trace.events.append(entry)
-        elif "outcome" in entry:
-            trace.outcomes.append(entry)
-        else:
-            return Err(TraceError(number, "is neither an event nor an outcome"))
+            trace = _add_entry(trace, entry)
+        except (ValueError, KeyError, TypeError) as error:
+            return Err(TraceError(number, f"is not a line of a trace ({error!r})"))
     return Ok(trace) if trace else Err(TraceError(1, "holds no header"))
 
 
+def _add_entry(trace: Trace | None, entry: dict[str, Any]) -> Trace:
+    """Take one line; raise ValueError, KeyError or TypeError for a bad one."""
+    if trace is None:
+        if (entry["trace"], entry["version"]) != ("requests", TRACE_VERSION):
+            raise ValueError(f"header of a trace of version {TRACE_VERSION} expected")
+        limits = Limits(**entry.get("limits", {}))
+        return Trace(entry["title"], entry["hosts"], limits)
+    if "event" in entry:
+        trace.events.append(entry)
+    elif "outcome" in entry:
+        trace.outcomes.append(entry)
+    else:
+        raise ValueError("neither an event nor an outcome")
+    return trace
+
+
 def replay_trace(trace: Trace, plugin: str = "run_token") -> list[str]:
     """Replay a trace; return the differences from its stated outcomes."""
     player = TracePlayer(trace, plugin)
