Try a borrowing patience that grows as shed / (1 - shed)

Cause: with the retry budget refusals are late at levels 1 and 2; blind borrowing in saturation is refused in over nine of ten cases. Change: patience 3 * shed / (1 - shed) service times, at most 20.

--- a/hornbeamdeal/admission/_placement.py
+++ b/hornbeamdeal/admission/_placement.py
@@ -13,7 +13,8 @@
 
 CHOICES = 2  # sampled servers when borrowing
 SHED_GAIN = 0.02  # weight of the newest borrowing in the shed share
-BORROW_PATIENCE = 6.0  # service times waited when all borrowing is refused
+BORROW_PATIENCE = 3.0  # service times waited when half the borrowing is refused
+MAX_PATIENCE = 20.0  # service times
 YIELD_PAUSE = 0.1  # seconds at a shed share of one
 RETRY_PATIENCE = 2.0  # service times a refused ticket waits for a sure slot
 
@@ -166,7 +167,8 @@
         """
         if demand.long and (demand.long_running or self._long_home()):
             return False
-        patience = BORROW_PATIENCE * self._shed_share.value
+        shed = min(self._shed_share.value, 0.99)
+        patience = min(BORROW_PATIENCE * shed / (1.0 - shed), MAX_PATIENCE)
         if demand.excluded and demand.running:
             # Blind tries at 70% load were refused about one time in three.
             patience = max(patience, RETRY_PATIENCE)
