--- a/hornbeamdeal/admission/_placement.py
+++ b/hornbeamdeal/admission/_placement.py
@@ -13,8 +13,7 @@
 
 CHOICES = 2  # sampled servers when borrowing
 SHED_GAIN = 0.02  # weight of the newest borrowing in the shed share
-BORROW_PATIENCE = 3.0  # service times waited when half the borrowing is refused
-MAX_PATIENCE = 20.0  # service times
+BORROW_PATIENCE = 6.0  # service times waited when all borrowing is refused
 YIELD_PAUSE = 0.1  # seconds at a shed share of one
 RETRY_PATIENCE = 2.0  # service times a refused ticket waits for a sure slot
 
@@ -167,8 +166,7 @@
         """
         if demand.long and (demand.long_running or self._long_home()):
             return False
-        shed = min(self._shed_share.value, 0.99)
-        patience = min(BORROW_PATIENCE * shed / (1.0 - shed), MAX_PATIENCE)
+        patience = BORROW_PATIENCE * self._shed_share.value
         if demand.excluded and demand.running:
             # Blind tries at 70% load were refused about one time in three.
             patience = max(patience, RETRY_PATIENCE)
