--- a/hornbeamdeal/admission/_server.py
+++ b/hornbeamdeal/admission/_server.py
@@ -12,7 +12,7 @@
 JUST_FREED = 0.002  # seconds in which another host rarely takes a freed slot
 FULL = 0.9  # aged load above which a server counts as full
 HOME_MAX_RECOVERY = 0.08  # seconds per slot; an owner is not kept out for long
-FOREIGN_MAX_RECOVERY = 1.28  # seconds per slot
+FOREIGN_MAX_RECOVERY = 5.12  # seconds per slot
 
 
 class ServerSlots:
