--- a/benchmarks/blocking.py
+++ b/benchmarks/blocking.py
@@ -8,7 +8,8 @@
 from hornbeamdeal.kernel import plugin_names
 
 from ._runs import print_table, run_all
-from ._slots import HOSTS, LONG_FACTOR, MEAN_SHORT, SERVERS, SLOTS, Harness, Job
+from ._servers import LONG_FACTOR, MEAN_SHORT, SLOTS
+from ._slots import HOSTS, SERVERS, Harness, Job
 
 UTILISATION = 0.7
 LONG_WORK_SHARE = 0.2  # of the total work in seconds of service
--- a/benchmarks/crest.py
+++ b/benchmarks/crest.py
@@ -4,20 +4,21 @@
 import json
 from collections.abc import Sequence
 from dataclasses import asdict, dataclass
-from statistics import mean, median, quantiles
+from statistics import mean, median
 
 from hornbeamdeal.kernel import plugin_names
 
-from ._runs import print_table, run_all
-from ._slots import (
-    COLD_FACTOR,
-    COLD_SECONDS,
-    MEAN_SHORT,
-    SERVERS,
-    SLOTS,
-    Harness,
-    Job,
+from ._figures import (
+    accepted_share,
+    ended_between,
+    is_normal,
+    jain_index,
+    missed_share,
+    refusal_p99,
 )
+from ._runs import print_table, run_all
+from ._servers import COLD_FACTOR, COLD_SECONDS, MEAN_SHORT, SLOTS
+from ._slots import SERVERS, Harness, Job
 
 LEVELS = (1, 2, 5, 10)  # offered load during the surge, as a multiple of capacity
 BUDGET_HELP = "bound tries after a shed to 10% of the answers"
@@ -130,8 +131,8 @@
         refusal_p99_ms=refusal_p99(jobs) * 1000,
         missed=missed_share(jobs),
         normal_after_s=time_to_normal(jobs),
-        jain=jain_index(ended_between(jobs, first, last)),
-        jain_normal=jain_index(ended_between(jobs, 0.0, SURGE_AT)),
+        jain=jain_index(ended_between(jobs, first, last), CALLERS),
+        jain_normal=jain_index(ended_between(jobs, 0.0, SURGE_AT), CALLERS),
         returned_accepted=accepted_share(surge.returned),
         sheds_per_start=harness.sheds / harness.starts,
     )
@@ -144,42 +145,6 @@
     return (last - first) * capacity() - lost
 
 
-def ended_between(jobs: Sequence[Job], first: float, last: float) -> list[Job]:
-    """Return the jobs answered in a time and before their deadline."""
-    answered = [job for job in jobs if job.ended_at is not None]
-    in_time = [job for job in answered if job.ended_at <= job.deadline]
-    return [job for job in in_time if first <= job.ended_at < last]
-
-
-def refusal_p99(jobs: Sequence[Job]) -> float:
-    """Return the p99 in seconds from offer to refusal."""
-    refused = [job for job in jobs if job.refused_at is not None]
-    waits = [job.refused_at - job.offered_at for job in refused]
-    return quantiles(waits, n=100)[98] if len(waits) > 1 else 0.0
-
-
-def missed_share(jobs: Sequence[Job]) -> float:
-    """Return the share of started work that ended after its deadline."""
-    started = [job for job in jobs if job.started]
-    missed = [j for j in started if j.ended_at is None or j.ended_at > j.deadline]
-    return len(missed) / max(1, len(started))
-
-
-def jain_index(jobs: Sequence[Job]) -> float:
-    """Return Jain's fairness index of the answers of all callers."""
-    counts = [0] * CALLERS
-    for job in jobs:
-        counts[job.caller] += 1
-    squares = sum(count * count for count in counts)
-    return sum(counts) ** 2 / (CALLERS * squares) if squares else 0.0
-
-
-def accepted_share(jobs: Sequence[Job]) -> float:
-    """Return the share of callers served that came back at the time told."""
-    accepted = [job for job in jobs if job.refused_at is None]
-    return len(accepted) / len(jobs) if jobs else 1.0
-
-
 def time_to_normal(jobs: Sequence[Job]) -> float:
     """Return the seconds from the end of the swing to lasting normal service.
 
@@ -198,15 +163,6 @@
     return normal_from - start
 
 
-def is_normal(jobs: Sequence[Job], latency_bound: float) -> bool:
-    """Tell whether the offers of one window had normal service."""
-    refused = sum(job.refused_at is not None for job in jobs)
-    latencies = [job.ended_at - job.offered_at for job in jobs if job.ended_at]
-    if refused > 0.01 * len(jobs) or not latencies:
-        return False
-    return mean(latencies) <= latency_bound
-
-
 def summarise(results: Sequence[CrestResult]) -> list[dict]:
     """Return medians, spreads and the verdict for each plug-in and level."""
     rows = []
