Hold unknown packets of leaving servers for slow members

Change: after the bound an owner holds packets of unknown keys whose old choice is leaving for at most 1.5 s, then takes the new choice.

--- a/hornbeamdeal/steering/_packets.py
+++ b/hornbeamdeal/steering/_packets.py
@@ -27,6 +27,8 @@
 # A host that starts asks owners for unknown flows until its peers have sent
 # their records, and no longer than this.
 JOINING_SECONDS = 10.0
+# Waiting packets are looked at again in each tick, which takes about 10 us each.
+WAITING_PACKETS = 1024
 
 
 class PacketPath:
@@ -42,6 +44,8 @@
         "_random",
     )
 
+    __slots__ += ("_waiting",)
+
     def __init__(self, state, handles, **more):
         self.state: FlowState = state
         self.handles: HandleCodec = handles
@@ -52,6 +56,7 @@
         self.joining_least = self.joining_until = 0.0
         self._random: Random = more["random"]
         self._pause = PauseBuffer()
+        self._waiting: list[FlowPacket] = []
         self._rotations: dict[str, SmoothWeightedRoundRobin] = {}
 
     def steer(self, packet: FlowPacket, now: float) -> list[Any]:
@@ -86,8 +91,10 @@
         return self.release(now)
 
     def release(self, now: float) -> list[Any]:
-        """Steer held packets if the wait after a pause is over."""
+        """Steer held packets; those that must still wait are held again."""
         packets = self._pause.release(self.state.version_number, now)
+        waiting, self._waiting = self._waiting, []
+        packets += waiting
         return [action for packet in packets for action in self.steer(packet, now)]
 
     def start_joining(self, now: float) -> None:
@@ -166,7 +173,16 @@
             if holder:
                 own_word = self._own_word(holder, key, slot, server, now)
                 return [*own_word, _relay(packet, holder)]
-        return [self._decided(packet, key, route, now)]
+        history = state.histories_by_service[route.service]
+        if state.settling.must_wait(history, key, now) and self._wait(packet):
+            return []
+        return [self._decided(packet, key, history, now)]
+
+    def _wait(self, packet: FlowPacket) -> bool:
+        if len(self._waiting) >= WAITING_PACKETS:
+            return False
+        self._waiting.append(packet)
+        return True
 
     def _by_record(self, packet, key, slot, server: BackendServer, now: float) -> Any:
         self.state.table.touch(slot, now)
@@ -219,9 +235,8 @@
             return []
         return self.state.send_record(holder, key, server)
 
-    def _decided(self, packet: FlowPacket, key: int, route: Route, now: float) -> Any:
+    def _decided(self, packet: FlowPacket, key: int, history, now: float) -> Any:
         state = self.state
-        history = state.histories_by_service[route.service]
         server = state.settling.unknown_choice(history, key, now)
         if server is None:
             return DropPacket(packet, "no_server")
--- a/hornbeamdeal/steering/_settling.py
+++ b/hornbeamdeal/steering/_settling.py
@@ -11,6 +11,9 @@
 # Promise P6 is 3 s after the first host has learned of the change. This leaves
 # a second for the report of the first host's version to arrive.
 SIGHTING_SECONDS = 2.0
+# A document is in force everywhere within 3 s, so that a member that is slower
+# than the settle bound hands over at most this much later.
+WAITING_SECONDS = 1.5
 
 
 @dataclass(slots=True)
@@ -79,6 +82,21 @@
         """Tell whether all live peers have handed over."""
         return all(self.has_completed(h.host_id) for h in self._ownership.peers())
 
+    def must_wait(self, history: ServiceHistory, key: int, now: float) -> bool:
+        """Tell whether a packet of an unknown key is to be held.
+
+        After the bound its old choice, which is leaving, gets no new flow, but a
+        slow member may still report the key as an open flow of that server.
+        """
+        if history.is_settled():
+            return False
+        old = history.base.choose(key)
+        left_at = history.left_at(old.server_id) if old else None
+        if left_at is None or old.server_id not in self._routes.view.servers_by_id:
+            return False
+        deadline = self._leaving_deadline(left_at)
+        return deadline <= now < deadline + WAITING_SECONDS
+
     def unknown_choice(
         self, history: ServiceHistory, key: int, now: float
     ) -> BackendServer | None:
