Measure slopes of packets, requests, memory and documents

Ruled out: extrapolating from the demo's 7 hosts, which shows no gradient, and a cluster of processes, whose CPU time includes the harness.

--- /dev/null
+++ b/hornbeamdeal/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Capacity model: measured slopes carried to the target size."""
--- /dev/null
+++ b/hornbeamdeal/capacity/_sizes.py
@@ -0,0 +1,47 @@
+"""Sizes at which the costs are measured."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Sizes:
+    """Three or more sizes for each kind of cost."""
+
+    packets: tuple[int, ...]
+    requests: tuple[int, ...]
+    payloads: tuple[int, ...]
+    targets: tuple[int, ...]
+    context_targets: int
+    context_hosts: int
+    records: tuple[int, ...]
+    hosts: tuple[int, ...]
+    region_targets: tuple[int, ...]
+    region_seconds: float
+
+
+FULL = Sizes(
+    # Above the 4,096 entries of the header cache, as on a host of the target size.
+    packets=(5000, 10_000, 15_000, 20_000),
+    requests=(500, 1000, 2000, 4000),
+    payloads=(16, 256, 512, 1024),
+    targets=(960, 3840, 7680, 15_040),
+    context_targets=15_040,
+    context_hosts=286,
+    records=(1 << 14, 1 << 16, 1 << 18),
+    hosts=(7, 36, 111, 286),
+    region_targets=(960, 3840, 7680),
+    region_seconds=60.0,
+)
+# Small enough for a test; its figures show nothing but that the measures work.
+QUICK = Sizes(
+    packets=(20, 40, 80),
+    requests=(10, 20, 40),
+    payloads=(16, 64, 256),
+    targets=(112, 224, 448),
+    context_targets=112,
+    context_hosts=5,
+    records=(64, 128, 256),
+    hosts=(3, 4, 6),
+    region_targets=(112, 224, 448),
+    region_seconds=4.0,
+)
