--- a/hornbeamdeal/steering/_scan.py
+++ b/hornbeamdeal/steering/_scan.py
@@ -22,7 +22,7 @@
 
     __slots__ = ("idle_seconds", "refresh_seconds", "opening_seconds")
     __slots__ += ("record_seconds", "_state", "_position", "_is_running")
-    __slots__ += ("_started_at", "_refreshed_from", "_hosts_changed")
+    __slots__ += ("_started_at", "_refreshed_from", "_hosts_changed", "_arrived")
 
     def __init__(self, state, idle_seconds, refresh_seconds, opening_seconds, **more):
         self.idle_seconds: float = idle_seconds
@@ -35,10 +35,12 @@
         self._started_at = 0.0
         self._refreshed_from = 0.0
         self._hosts_changed = False
+        self._arrived: set[str] = set()
 
     def restart(self, hosts_changed: bool, now: float) -> None:
         """Start from the beginning because servers or hosts changed."""
         self._hosts_changed |= hosts_changed
+        self._arrived = self._state.ownership.arrivals(now)
         self._position = 0
         self._is_running = True
         self._started_at = now
@@ -58,28 +60,28 @@
         return self._state.completions()
 
     def hand_over_all(self, now: float) -> list[Any]:
-        """Return all own records for the holders that follow this host."""
+        """Return all records in use for the holders that follow this host.
+
+        That includes flows on their current choice: where only this host has seen
+        one lately, nobody could tell it from a new flow after the next change.
+        """
         state = self._state
+        state.is_stopping = True
         own_id = state.ownership.own_id
         followers = HostSet(state.ownership.future.host_ids - {own_id})
         for slot in state.table.occupied(0, len(state.table)):
             entry = state.table.entry(slot, now)
-            if not self._is_handed_over(entry):
+            if entry.age > self._seconds_in_use(entry.key):
                 continue
-            for host_id in followers.holders(entry.key).others(own_id):
+            holders = followers.holders(entry.key)
+            recipients = holders.others("") if entry.tracked else [holders.owner]
+            for host_id in filter(None, recipients):
                 state.outbox.add(host_id, entry.key, entry.digest)
         number, digest = state.version_number, state.routes.digest
         return state.outbox.send_all(state.ownership, number, digest)
 
-    def _is_handed_over(self, entry: TableEntry) -> bool:
-        if is_opening_key(entry.key):
-            return entry.age <= self.opening_seconds
-        server = self._state.routes.servers_by_digest.get(entry.digest)
-        if server is None or entry.age > self.idle_seconds + self.refresh_seconds:
-            return False
-        if server.service in self._state.changed_services:
-            return self._state.differs(server, entry.key)
-        return entry.tracked
+    def _seconds_in_use(self, key: int) -> float:
+        return self.opening_seconds if is_opening_key(key) else self.idle_seconds
 
     def _finish(self) -> None:
         self._is_running = False
@@ -154,8 +156,7 @@
 
     def _arrivals(self, key: int) -> set[str]:
         ownership = self._state.ownership
-        if ownership.arrivals and (
-            ownership.current.holders(key).owner == ownership.own_id
-        ):
-            return ownership.arrivals
-        return set()
+        if not self._arrived or not self._hosts_changed:
+            return set()
+        is_owner = ownership.current.holders(key).owner == ownership.own_id
+        return self._arrived if is_owner else set()
--- a/hornbeamdeal/steering/_tracked.py
+++ b/hornbeamdeal/steering/_tracked.py
@@ -28,11 +28,6 @@
 from ._state import FlowState
 from ._table import FlowTable
 
-HISTORY_SECONDS = 24 * 3600.0
-# A host that starts asks owners for unknown flows until its peers have sent
-# their records, and no longer than this.
-JOINING_SECONDS = 10.0
-
 
 class _KeysConstraint:
     """At least one secret of the size that BLAKE2b takes."""
@@ -148,9 +143,7 @@
         if state is None:
             return []
         state.ownership.promote(now)
-        for history in state.histories_by_service.values():
-            state.settling.settle_when_due(history, now)
-            history.expire(now - HISTORY_SECONDS)
+        state.settle_due(now)
         self.packets_.note_joined(now)
         actions = self.packets_.release(now) + state.send_due(now)
         return actions + self.scan_.advance(now) + state.counts()
@@ -202,8 +195,8 @@
             opening_seconds=self.opening_seconds,
             owned_seconds=self.idle_seconds + self.refresh_seconds,
             random=Random(self.random_state),
-            joining_until=now + JOINING_SECONDS,
         )
+        self.packets_.start_joining(now)
 
     def _hear(self, event: PeerReceived, now: float) -> list[Any]:
         actions: list[Any] = []
