Measure a region's membership, changes, replacements and losses

Cause: control traffic, convergence and calls on the platform grow with the hosts of a region, and nothing showed how.

--- a/hornbeamdeal/capacity/_measure_packets.py
+++ b/hornbeamdeal/capacity/_measure_packets.py
@@ -16,7 +16,7 @@
 )
 from hornbeamdeal.wire import peer_types
 
-from ._components import make_codec, make_steering
+from ._components import INCARNATION, make_codec, make_steering
 from ._fit import Slope, fit
 from ._samples import make_view
 from ._sizes import Sizes
@@ -25,6 +25,7 @@
 NOW = 61.0
 PAYLOAD = bytes(64)
 TOKEN_BYTES = 4
+PING_UPDATES = (0, 3, 6, 9)
 
 
 class PacketBench:
@@ -183,6 +184,7 @@
         ),
         _time("envelope_cpu", bench.packets, bench.seal_and_open, sizes),
         _relayed_bytes(bench, sizes),
+        _ping_bytes(bench),
     ]
 
 
@@ -198,3 +200,15 @@
         packet = wire.decode_packet("opaque", bytes(size), caller, address)
         points.append((size, len(bench.seal(packet))))
     return fit("relayed_packet_bytes", "payload bytes", "B", points)
+
+
+def _ping_bytes(bench: PacketBench) -> Slope:
+    """Measure a ping with the member records that ride on it."""
+    record = peer_types.MemberRecord(
+        "host-0001", INCARNATION, "10.0.0.2", 7000, "zone-a", 0, 1, 1, bytes(32)
+    )
+    points = []
+    for updates in PING_UPDATES:
+        ping = peer_types.Ping(1 << 40, [record] * updates)
+        points.append((updates, len(bench.codec.encode(ping))))
+    return fit("ping_bytes", "updates", "B", points)
--- /dev/null
+++ b/hornbeamdeal/capacity/_platform.py
@@ -0,0 +1,67 @@
+"""The platform's configuration service on a manual clock, with its calls counted."""
+
+from collections import Counter
+from typing import Any
+
+from hornbeamdeal.document import Segment, manifest_of
+from hornbeamdeal.kernel import PlatformRead, ReadPlatform, Version
+
+LATENCY_SECONDS = 0.003
+WATCH_SECONDS = 30.0
+MANIFEST_KEY = "document/manifest"
+HOSTS_KEY = "hosts"
+
+
+class CountingPlatform:
+    """Answers reads at once and watches when there is news.
+
+    `schedule(delay, action, *arguments)` calls an action later.
+    """
+
+    def __init__(self, schedule: Any):
+        self.schedule = schedule
+        self.calls = 0
+        self._value_by_key: dict[str, bytes] = {}
+        self._revision_by_key: Counter[str] = Counter()
+        self._watches: list[tuple[ReadPlatform, Any]] = []
+
+    @property
+    def pending(self) -> int:
+        """Return the number of pending watches."""
+        return len(self._watches)
+
+    def publish(self, version: Version, segments: list[Segment]) -> None:
+        """Write a document's segments and then its manifest."""
+        for segment in segments:
+            key = f"document/segments/{segment.digest.hex()}"
+            self._value_by_key[key] = segment.content
+        self.put(MANIFEST_KEY, manifest_of(version, segments).encode())
+
+    def put(self, key: str, value: bytes) -> None:
+        """Write a key and answer its watches."""
+        self._value_by_key[key] = value
+        self._revision_by_key[key] += 1
+        watches = [watch for watch in self._watches if watch[0].key == key]
+        for watch in watches:
+            self._end_watch(watch)
+
+    def read(self, action: ReadPlatform, answer: Any) -> None:
+        """Answer a read, or hold a watch."""
+        self.calls += 1
+        after = action.after_revision
+        if after is None or self._revision_by_key[action.key] > after:
+            self.schedule(LATENCY_SECONDS, self._reply, action, answer)
+            return
+        watch = (action, answer)
+        self._watches.append(watch)
+        self.schedule(WATCH_SECONDS, self._end_watch, watch)
+
+    def _end_watch(self, watch: tuple[ReadPlatform, Any]) -> None:
+        if any(pending is watch for pending in self._watches):
+            self._watches = [w for w in self._watches if w is not watch]
+            self.schedule(LATENCY_SECONDS, self._reply, *watch)
+
+    def _reply(self, action: ReadPlatform, answer: Any) -> None:
+        key = action.key
+        value = self._value_by_key.get(key)
+        answer(PlatformRead(key, value, self._revision_by_key[key]))
