Add the capacity model: formulas over measured slopes

Ruled out: formulas as Python functions beside their text, since the two can differ; and a symbolic algebra library for four operations. Change: each line of the model is a text formula over fitted lines, target figures and assumptions, evaluated by a small arithmetic interpreter, with its limit, mechanism and the design change that would bring it under the limit. Conclusion: a line's figure always belongs to the formula that is shown.

--- /dev/null
+++ b/hornbeamdeal/capacity/_entry_host_state.py
@@ -0,0 +1,134 @@
+"""Lines of an entry host: state and control traffic."""
+
+from ._line import TOTAL_REMEDY, LineSpec, sum_of
+
+_DOCUMENT = "at(target_memory, targets)"
+_SEGMENTS = "at(segment_memory, at(document_segments, targets))"
+_PEERS = "per(peer_view_memory) * region_hosts"
+_TABLE = "per(flow_record_memory) * flow_slots"
+_GOSSIP = "at(membership_bytes, region_hosts)"
+_CHANGES = "at(change_bytes, region_hosts) * changes"
+_LISTS = "at(list_bytes, region_hosts) * host_lists"
+_RELAYS = "host_new_flows * at(relayed_packet_bytes, opening_payload)"
+_STARTS = "at(replace_bytes, region_hosts) * region_starts"
+
+MEMORY = (
+    LineSpec(
+        "document, view, indexes",
+        "B",
+        _DOCUMENT,
+        "control_memory",
+        "whole document in memory, a region's servers in the view",
+    ),
+    LineSpec(
+        "segments to pass on", "B", _SEGMENTS, "control_memory", "segments by digest"
+    ),
+    LineSpec(
+        "peers",
+        "B",
+        _PEERS,
+        "control_memory",
+        "members of one region, owners, places for home slots",
+    ),
+    LineSpec(
+        "recent-flow table",
+        "B",
+        _TABLE,
+        "control_memory",
+        "bounded array, 12 bytes a record",
+    ),
+    LineSpec(
+        "control memory in all",
+        "B",
+        sum_of(_DOCUMENT, _SEGMENTS, _PEERS, _TABLE),
+        "control_memory",
+        "sum of the lines above",
+    ),
+    LineSpec(
+        "flows seen while idle",
+        "records",
+        "open_flows / regions * seen_share",
+        "flow_slots",
+        "a host sees each flow of its region at seen_share",
+    ),
+    LineSpec(
+        "run tokens",
+        "tokens",
+        "host_requests * token_seconds",
+        "maximum_tokens",
+        "used tokens until they expire",
+    ),
+    LineSpec(
+        "memory of run tokens",
+        "B",
+        "per(run_token_memory) * host_requests * token_seconds",
+        "control_memory",
+        "record and answer a token",
+    ),
+    LineSpec(
+        "requests in flight",
+        "requests",
+        "host_requests * request_seconds",
+        "maximum_exchanges",
+        "exchange table",
+    ),
+    LineSpec(
+        "memory of requests in flight",
+        "B",
+        "per(in_flight_memory) * host_requests * request_seconds",
+        "control_memory",
+        "exchange, ticket, datagram",
+    ),
+)
+TRAFFIC = (
+    LineSpec(
+        "membership messages",
+        "1/s",
+        "at(membership_messages, region_hosts)",
+        "",
+        "SWIM: one probe a second, its answer, offers",
+    ),
+    LineSpec(
+        "membership bytes",
+        "B/s",
+        _GOSSIP,
+        "control_bytes",
+        "probes, offers and a full exchange every 20 s",
+    ),
+    LineSpec(
+        "document changes",
+        "B/s",
+        _CHANGES,
+        "control_bytes",
+        "offers, manifest, one segment, versions in gossip",
+    ),
+    LineSpec(
+        "host list changes",
+        "B/s",
+        _LISTS,
+        "control_bytes",
+        "offers, manifest, changed segments",
+    ),
+    LineSpec(
+        "relayed opening packets",
+        "B/s",
+        _RELAYS,
+        "control_bytes",
+        "one relay to the key's owner for each new flow",
+    ),
+    LineSpec(
+        "starts of other hosts",
+        "B/s",
+        _STARTS,
+        "control_bytes",
+        "joining, versions, served segments",
+    ),
+    LineSpec(
+        "control bytes in all",
+        "B/s",
+        sum_of(_GOSSIP, _CHANGES, _LISTS, _RELAYS, _STARTS),
+        "control_bytes",
+        "sum of the lines above",
+        TOTAL_REMEDY,
+    ),
+)
