--- a/hornbeamdeal/capacity/_measure_packets.py
+++ b/hornbeamdeal/capacity/_measure_packets.py
@@ -125,18 +125,13 @@
         )
 
     def _pass_back(self, data: bytes) -> bytes:
-        """Do the steps of `wire.add_flow_handle` one by one.
-
-        The function itself raises AssertionError: aiocoap 0.4.17 does not encode
-        a message that it decoded.
-        """
         datagram = wire.decode_proxied(data).ok_value
-        message = wire.decode_message(datagram.payload).ok_value
-        handle = self.steering.make_handle(self.server, message.token)
-        payload = wire.encode_registration(message.token, message.mid, "/m", handle)
-        return wire.encode_proxied(
-            datagram.source, datagram.destination, payload + message.payload
-        )
+
+        def make_handle(token: bytes) -> bytes | None:
+            return self.steering.make_handle(self.server, token)
+
+        payload = wire.add_flow_handle(datagram.payload, make_handle)
+        return wire.encode_proxied(datagram.source, datagram.destination, payload)
 
 
 def caller_of(index: int) -> Endpoint:
