--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements of the project's own components."""
+"""Measurements of the decision code; run by `make bench`."""
