--- a/hornbeamdeal/steering/_state.py
+++ b/hornbeamdeal/steering/_state.py
@@ -157,7 +157,11 @@
         tracked = server is None or self.differs(server, key)
         tracked = tracked and not is_opening_key(key)
         self._put(key, digest, now, tracked)
-        if tracked and is_owner and sender != holders.backup and holders.backup:
+        if self.is_stopping:
+            # The sender has not heard yet that this host leaves.
+            for host_id in holders.others(sender):
+                self.replies.add(host_id, key, digest)
+        elif tracked and is_owner and sender != holders.backup and holders.backup:
             self.replies.add(holders.backup, key, digest)
 
     def _put(self, key: int, digest: int, now: float, tracked: bool) -> None:
