--- a/hornbeamdeal/steering/_packets.py
+++ b/hornbeamdeal/steering/_packets.py
@@ -1,7 +1,6 @@
 """The decision for each packet of the `tracked` plug-in."""
 
 from dataclasses import replace
-from random import Random
 from typing import Any
 
 from hornbeamdeal.kernel import (
@@ -15,9 +14,9 @@
     RelayPacket,
 )
 
-from ._assignment import SmoothWeightedRoundRobin
 from ._handles import HandleCodec
 from ._keys import digest_of, flow_key, opening_key
+from ._openings import Openings
 from ._pause import PauseBuffer
 from ._routes import Route
 from ._state import FlowState
@@ -34,30 +33,19 @@
 class PacketPath:
     """Steers packets by handle, record, owner or choice, in this order."""
 
-    __slots__ = ("state", "handles", "idle_seconds", "opening_seconds")
-    __slots__ += (
-        "owned_seconds",
-        "joining_least",
-        "joining_until",
-        "_pause",
-        "_rotations",
-        "_random",
-    )
-
-    __slots__ += ("_waiting",)
+    __slots__ = ("state", "handles", "idle_seconds", "owned_seconds")
+    __slots__ += ("joining_least", "joining_until", "_openings", "_pause", "_waiting")
 
     def __init__(self, state, handles, **more):
         self.state: FlowState = state
         self.handles: HandleCodec = handles
         self.idle_seconds: float = more["idle_seconds"]
-        self.opening_seconds: float = more["opening_seconds"]
         # An owner's record is as old as the last refresh by the other hosts.
         self.owned_seconds: float = more["owned_seconds"]
         self.joining_least = self.joining_until = 0.0
-        self._random: Random = more["random"]
+        self._openings = Openings(state, more["opening_seconds"], more["random"])
         self._pause = PauseBuffer()
         self._waiting: list[FlowPacket] = []
-        self._rotations: dict[str, SmoothWeightedRoundRobin] = {}
 
     def steer(self, packet: FlowPacket, now: float) -> list[Any]:
         """Return what to do with a packet."""
@@ -141,25 +129,7 @@
                 return _forward(packet, route.server_set.choose(key))
             if holder != self.state.ownership.own_id:
                 return _relay(packet, holder)
-        return _forward(packet, self._assigned(key, route, now))
-
-    def _assigned(self, key: int, route: Route, now: float) -> BackendServer | None:
-        table = self.state.table
-        slot = table.find(key)
-        if slot >= 0 and table.age_at(slot, now) <= self.opening_seconds:
-            server = self.state.server_at(slot)
-            if server is not None and server.service == route.service:
-                return server
-        rotation = self._rotations.get(route.service)
-        if rotation is None:
-            rotation = SmoothWeightedRoundRobin(self._random)
-            self._rotations[route.service] = rotation
-        server = rotation.pick(route.server_set.servers)
-        if server is not None:
-            self.state.store(key, server, now)
-            if self.state.is_stopping:
-                self.state.replicate(key, server)
-        return server
+        return _forward(packet, self._openings.assigned(key, route, now))
 
     def _opaque(self, packet: FlowPacket, route: Route, now: float) -> list[Any]:
         state, key = self.state, flow_key(packet)
