--- a/hornbeamdeal/capacity/_entry_host_state.py
+++ b/hornbeamdeal/capacity/_entry_host_state.py
@@ -10,7 +10,7 @@
 _CHANGES = "at(change_bytes, region_hosts) * changes"
 _LISTS = "at(list_bytes, region_hosts) * host_lists"
 _RELAYS = "host_new_flows * at(relayed_packet_bytes, opening_payload)"
-_STARTS = "at(replace_bytes, region_hosts) * region_starts"
+_STARTS = "at(replace_bytes, 1 / region_hosts) * region_starts"
 
 MEMORY = (
     LineSpec(
--- a/hornbeamdeal/capacity/_failures.py
+++ b/hornbeamdeal/capacity/_failures.py
@@ -92,14 +92,14 @@
     LineSpec(
         "bytes for each other host",
         "B",
-        "at(replace_bytes, region_hosts)",
+        "at(replace_bytes, 1 / region_hosts)",
         "",
         "one leaves, one joins",
     ),
     LineSpec(
         "bytes on average",
         "B/s",
-        "at(replace_bytes, region_hosts) * region_starts",
+        "at(replace_bytes, 1 / region_hosts) * region_starts",
         "control_bytes",
         "all day",
     ),
--- a/hornbeamdeal/capacity/_measure_region.py
+++ b/hornbeamdeal/capacity/_measure_region.py
@@ -31,7 +31,6 @@
     "list_messages": "messages",
     "list_bytes": "B",
     "replace_messages": "messages",
-    "replace_bytes": "B",
     "replace_fetch_bytes": "B",
     "replace_fetch_seconds": "s",
     "replace_calls": "calls",
@@ -199,4 +198,10 @@
     # Gossip reaches twice the hosts with each round, so its time is fitted
     # against the logarithm.
     seconds = [(log2(n), figures["change_seconds"]) for n, figures in runs]
-    return [*slopes, fit("change_seconds", "log2 of hosts", "s", seconds)]
+    # The peers share the service of a new host's state among them.
+    shares = [(1 / n, figures["replace_bytes"]) for n, figures in runs]
+    return [
+        *slopes,
+        fit("change_seconds", "log2 of hosts", "s", seconds),
+        fit("replace_bytes", "1 / hosts", "B", shares),
+    ]
