Limit log lines of one event; exit when another process takes the host_id

Cause: each malformed datagram wrote a line, so a stranger could fill the log; a process whose host_id another one had taken went on serving in silence. Ruled out: no line at all for malformed input; operators need the detail once. Change: a token bucket for each event (20 lines, then 5 a second) with the number suppressed; SupersededError ends the older process with exit code 4.

--- a/hornbeamdeal/daemon/_driver.py
+++ b/hornbeamdeal/daemon/_driver.py
@@ -1,6 +1,7 @@
 """The trio driver of one entry host: events in, actions out, no decisions."""
 
 import logging
+import traceback
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
@@ -25,6 +26,7 @@
     DropPacket,
     Endpoint,
     ForwardPacket,
+    HornbeamdealError,
     HostListInUse,
     LogEvent,
     MembersChanged,
@@ -45,7 +47,7 @@
     UseHostList,
     VersionInForce,
 )
-from hornbeamdeal.observability import Metrics
+from hornbeamdeal.observability import LogLimiter, Metrics
 from hornbeamdeal.wire import peer_types
 
 from ._ports import BulkPort, Receive, UdpPort
@@ -59,6 +61,17 @@
 MESSAGE_IDS = 1 << 16
 
 
+class SupersededError(HornbeamdealError):
+    """A newer process runs under the same host identifier."""
+
+    __slots__ = ()
+
+    def __init__(self, host_id: str):
+        super().__init__(
+            f"a newer process runs as {host_id}; give each entry host its own host_id"
+        )
+
+
 @dataclass(frozen=True, slots=True)
 class Relay:
     """How a caller's datagram came here: relayed by a peer, or not at all."""
@@ -139,6 +152,7 @@
         "message_id_",
         "is_stopping_",
         "carry_out_by_type_",
+        "log_limiter_",
     )
 
     def __init__(
@@ -162,6 +176,7 @@
         self.pending_: deque[Any] = deque()
         self.message_id_ = 0
         self.is_stopping_ = False
+        self.log_limiter_ = LogLimiter()
         self.last_event_at_ = clock.monotonic()
         self.carry_out_by_type_ = self._handlers()
 
@@ -195,7 +210,12 @@
         self._carry_out_pending(now)
 
     def log(self, event: str, level: str = "info", **fields: Any) -> None:
-        """Write one log line."""
+        """Write one log line, unless the event floods the log."""
+        if not self.log_limiter_.allows(event, self.clock.monotonic()):
+            return
+        suppressed = self.log_limiter_.take_suppressed(event)
+        if suppressed:
+            fields["suppressed"] = suppressed
         self.logger.log(getattr(logging, level.upper()), event, extra=fields)
 
     def _check_pause(self, now: float) -> None:
@@ -248,7 +268,8 @@
                 receive(data, sender)
             except Exception:
                 self.metrics.count(Count("unexpected_errors"))
-                self.logger.exception("unexpected_error", extra={"sender": str(sender)})
+                detail = traceback.format_exc()
+                self.log("unexpected_error", "error", sender=sender, detail=detail)
 
         return receive_guarded
 
@@ -260,6 +281,9 @@
             for component in self.components.all():
                 self.pending_.extend(component.tick(now))
             self._carry_out_pending(now)
+            if self.components.membership.superseded_:
+                self.log("superseded", "error", remedy="give each host its own host_id")
+                raise SupersededError(self.settings.host_id)
 
     # Receiving
 
--- a/hornbeamdeal/daemon/main.py
+++ b/hornbeamdeal/daemon/main.py
@@ -13,8 +13,10 @@
 
 from ._admin import AdminPages
 from ._assembly import make_driver
+from ._driver import SupersededError
 
 EXIT_USAGE = 2
+EXIT_SUPERSEDED = 4
 # Work in flight gets this long at a planned stop: the longest deadline of a
 # work class plus a margin.
 STOP_PATIENCE_SECONDS = 70.0
@@ -41,7 +43,11 @@
         for error in loaded.err_value:
             print(f"hornbeamdeal-entry: {error}", file=sys.stderr)
         sys.exit(EXIT_USAGE)
-    trio.run(serve, make_driver(loaded.ok_value))
+    try:
+        trio.run(serve, make_driver(loaded.ok_value))
+    except* SupersededError as group:
+        print(f"hornbeamdeal-entry: {group.exceptions[0]}", file=sys.stderr)
+        sys.exit(EXIT_SUPERSEDED)
 
 
 def main():
