--- a/benchmarks/_slots.py
+++ b/benchmarks/_slots.py
@@ -60,26 +60,30 @@
         lying: int = 2,
         absent: int = 0,
         keeps_budget: bool = False,
+        hosts: int = HOSTS,
+        servers: int = SERVERS,
     ):
+        self.hosts = hosts
+        self.servers = servers
         self.random = Random(seed)
         self.clock = ManualClock()
         self.jobs: list[Job] = []
         self.sheds = 0
         self.starts = 0
-        self._budgets = [RetryBudget(keeps_budget) for _ in range(HOSTS)]
+        self._budgets = [RetryBudget(keeps_budget) for _ in range(hosts)]
         self._events: list = []
         self._order = count()
         self._ticket_ids = count()
         self._jobs_by_ticket: dict[int, Job] = {}
-        self._servers = [self._make_server(i, i < lying) for i in range(SERVERS)]
+        self._servers = [self._make_server(i, i < lying) for i in range(servers)]
         self._by_id = {s.server.server_id: s for s in self._servers}
         self._hosts = [
-            create("admission", plugin, random_state=seed * HOSTS + i)
-            for i in range(HOSTS)
+            create("admission", plugin, random_state=seed * hosts + i)
+            for i in range(hosts)
         ]
-        for index in range(HOSTS):
-            self._update(index, SERVERS - absent)
-            self.at(TICK * (index + 1) / HOSTS, self._tick, index)
+        for index in range(hosts):
+            self._update(index, servers - absent)
+            self.at(TICK * (index + 1) / hosts, self._tick, index)
 
     def at(self, time: float, action: Callable, *arguments) -> None:
         """Run an action at a time."""
@@ -95,12 +99,13 @@
     def join_cold_server(self, at: float, spread: float) -> None:
         """Let the last server join; hosts learn of it at different times."""
         self._servers[-1].cold_until = at + COLD_SECONDS
-        for index in range(HOSTS):
-            self.at(at + self.random.uniform(0, spread), self._update, index, SERVERS)
+        for index in range(self.hosts):
+            known_at = at + self.random.uniform(0, spread)
+            self.at(known_at, self._update, index, self.servers)
 
     def offer(self, job: Job) -> None:
         """Offer a new job to a random host."""
-        job.host = self.random.randrange(HOSTS)
+        job.host = self.random.randrange(self.hosts)
         self.jobs.append(job)
         self._offer(job)
 
@@ -116,7 +121,7 @@
     def _update(self, index: int, servers: int) -> None:
         hosts = {
             f"h{i}": EntryHost(f"h{i}", i, Endpoint("127.0.0.1", 7000 + i), "a")
-            for i in range(HOSTS)
+            for i in range(self.hosts)
         }
         listed = {s.server.server_id: s.server for s in self._servers[:servers]}
         view = View(f"h{index}", "a", servers_by_id=listed, hosts_by_id=hosts)
--- a/benchmarks/crest.py
+++ b/benchmarks/crest.py
@@ -18,7 +18,7 @@
 )
 from ._runs import print_table, run_all
 from ._servers import COLD_FACTOR, COLD_SECONDS, MEAN_SHORT, SLOTS
-from ._slots import SERVERS, Harness, Job
+from ._slots import HOSTS, SERVERS, Harness, Job
 
 LEVELS = (1, 2, 5, 10)  # offered load during the surge, as a multiple of capacity
 BUDGET_HELP = "bound tries after a shed to 10% of the answers"
@@ -48,6 +48,7 @@
     """Figures of one run; `returned_accepted` tells how true the told times are."""
 
     plugin: str
+    hosts: int
     level: float
     seed: int
     goodput: float
@@ -60,12 +61,32 @@
     sheds_per_start: float
 
 
+@dataclass(frozen=True, slots=True)
+class Setup:
+    """What one run is made of."""
+
+    plugin: str
+    hosts: int
+    servers: int
+    level: float
+    seed: int
+    keeps_budget: bool
+
+
 class Surge:
     """Callers of one run: normal load, a surge, and normal load again."""
 
-    def __init__(self, plugin: str, level: float, seed: int, keeps_budget: bool):
-        self.level = level
-        self.harness = Harness(plugin, seed, absent=1, keeps_budget=keeps_budget)
+    def __init__(self, setup: Setup):
+        self.level = setup.level
+        self.harness = Harness(
+            setup.plugin,
+            setup.seed,
+            absent=1,
+            keeps_budget=setup.keeps_budget,
+            hosts=setup.hosts,
+            servers=setup.servers,
+        )
+        self.capacity = capacity(setup.servers)
         self.returned: list[Job] = []
         self._returns_by_job: dict[Job, int] = {}
         self._random = self.harness.random
@@ -73,10 +94,10 @@
 
     def run(self) -> None:
         """Run until all accepted work has ended."""
-        peak = max(self.level, NORMAL_LEVEL) * capacity()
+        peak = max(self.level, NORMAL_LEVEL) * self.capacity
         now = 0.0
         while (now := now + self._random.expovariate(peak)) < end():
-            if self._random.random() * peak < self._level_at(now) * capacity():
+            if self._random.random() * peak < self._level_at(now) * self.capacity:
                 self.harness.at(now, self._offer, self._random.randrange(CALLERS), 0)
         self.harness.run(end() + 2 * DEADLINE)
 
@@ -101,9 +122,9 @@
             self.harness.at(now + delay, self._offer, job.caller, returns + 1)
 
 
-def capacity() -> float:
+def capacity(servers: int) -> float:
     """Return the requests a second that warm servers can serve."""
-    return SERVERS * SLOTS / MEAN_SHORT
+    return servers * SLOTS / MEAN_SHORT
 
 
 def end() -> float:
@@ -116,18 +137,20 @@
     return caller < AT_ONCE_SHARE * CALLERS
 
 
-def measure(plugin: str, level: float, seed: int, keeps_budget: bool) -> CrestResult:
+def measure(setup: Setup) -> CrestResult:
     """Measure one plug-in at one level with one seed."""
-    surge = Surge(plugin, level, seed, keeps_budget)
+    surge = Surge(setup)
     surge.run()
     jobs = surge.harness.jobs
     harness = surge.harness
     first, last = SURGE_AT + RAMP, SURGE_AT + RAMP + SURGE
+    possible = real_capacity(setup.servers, first, last)
     return CrestResult(
-        plugin=plugin,
-        level=level,
-        seed=seed,
-        goodput=len(ended_between(jobs, first, last)) / real_capacity(first, last),
+        plugin=setup.plugin,
+        hosts=setup.hosts,
+        level=setup.level,
+        seed=setup.seed,
+        goodput=len(ended_between(jobs, first, last)) / possible,
         refusal_p99_ms=refusal_p99(jobs) * 1000,
         missed=missed_share(jobs),
         normal_after_s=time_to_normal(jobs),
@@ -138,11 +161,11 @@
     )
 
 
-def real_capacity(first: float, last: float) -> float:
+def real_capacity(servers: int, first: float, last: float) -> float:
     """Return the requests that can end in a time with one server cold at first."""
     cold = max(0.0, min(last, SURGE_AT + COLD_SECONDS) - first)
     lost = cold * SLOTS / MEAN_SHORT * (1 - 1 / COLD_FACTOR)
-    return (last - first) * capacity() - lost
+    return (last - first) * capacity(servers) - lost
 
 
 def time_to_normal(jobs: Sequence[Job]) -> float:
@@ -166,10 +189,10 @@
 def summarise(results: Sequence[CrestResult]) -> list[dict]:
     """Return medians, spreads and the verdict for each plug-in and level."""
     rows = []
-    for key in dict.fromkeys((r.plugin, r.level) for r in results):
-        own = [result for result in results if (result.plugin, result.level) == key]
-        row: dict = {"plugin": key[0], "level": key[1]}
-        for name in list(asdict(own[0]))[3:]:
+    for key in dict.fromkeys(_group(r) for r in results):
+        own = [result for result in results if _group(result) == key]
+        row: dict = dict(zip(("plugin", "hosts", "level"), key, strict=True))
+        for name in list(asdict(own[0]))[4:]:
             row[name] = median(getattr(result, name) for result in own)
         for name in ("goodput", "refusal_p99_ms", "normal_after_s"):
             values = [getattr(result, name) for result in own]
@@ -179,6 +202,10 @@
     return rows
 
 
+def _group(result: CrestResult) -> tuple[str, int, float]:
+    return result.plugin, result.hosts, result.level
+
+
 def missed_bounds(row: dict) -> list[str]:
     """Return the bounds that the medians miss."""
     met = {
@@ -196,14 +223,17 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--json", action="store_true")
     parser.add_argument("--plugins", nargs="*", default=plugin_names("admission"))
+    parser.add_argument("--hosts", nargs="*", type=int, default=[HOSTS])
+    parser.add_argument("--servers", type=int, default=SERVERS)
     parser.add_argument("--levels", nargs="*", type=float, default=LEVELS)
     parser.add_argument("--seeds", nargs="*", type=int, default=SEEDS)
     parser.add_argument("--retry-budget", action="store_true", help=BUDGET_HELP)
     parser.add_argument("--workers", type=int, default=2)
     options = parser.parse_args()
     tasks = [
-        (plugin, level, seed, options.retry_budget)
+        (Setup(plugin, hosts, options.servers, level, seed, options.retry_budget),)
         for plugin in options.plugins
+        for hosts in options.hosts
         for level in options.levels
         for seed in options.seeds
     ]
