Elect few home hosts for a service when hosts outnumber its slots

Cause: with 40 hosts and 21 slots most hosts own no slot and probe blindly. Change: elect_home_hosts picks slots / 3 hosts by rendezvous hashing, zone by zone; admission deals the slots to these, and the dispatcher relays a request without a run token once to one of them, chosen by the caller's message. The home host of an idempotent request does not acknowledge the first copy, so the caller retransmits if that host dies. Regions of up to 7 hosts, and services with two slots a host, are served as before.

--- a/benchmarks/_slots.py
+++ b/benchmarks/_slots.py
@@ -17,13 +17,16 @@
     EntryHost,
     ManualClock,
     Outcome,
+    Request,
     ServerAnswer,
     View,
     create,
 )
+from hornbeamdeal.requests._home_hosts import HomeHosts
 
 from ._servers import BUDGET_SHARE, COLD_SECONDS, SLOTS, RetryBudget, SlotServer
 
+SERVICE = "reservas"
 HOSTS = 7
 SERVERS = 7
 ONE_WAY = 0.0005  # seconds
@@ -32,6 +35,12 @@
 SHED_RETRY_AFTER = 1.0  # seconds told to callers when all tries were refused
 
 
+def _request(job: "Job") -> Request:
+    caller = Endpoint("10.0.0.1", job.caller)
+    address = Endpoint("10.1.0.1", 5683)
+    return Request(caller, address, b"", job.number, "POST", "/bookings", b"", False)
+
+
 @dataclass(slots=True, eq=False)
 class Job:
     """One request of a caller as it is seen from outside."""
@@ -41,6 +50,7 @@
     offered_at: float
     deadline: float
     host: int = 0
+    number: int = 0
     tries: int = 0
     started: bool = False
     ended_at: float | None = None
@@ -70,6 +80,7 @@
         self.jobs: list[Job] = []
         self.sheds = 0
         self.starts = 0
+        self.relays = 0
         self._budgets = [RetryBudget(keeps_budget) for _ in range(hosts)]
         self._events: list = []
         self._order = count()
@@ -81,6 +92,7 @@
             create("admission", plugin, random_state=seed * hosts + i)
             for i in range(hosts)
         ]
+        self._homes = [HomeHosts() for _ in range(hosts)]
         for index in range(hosts):
             self._update(index, servers - absent)
             self.at(TICK * (index + 1) / hosts, self._tick, index)
@@ -106,8 +118,19 @@
     def offer(self, job: Job) -> None:
         """Offer a new job to a random host."""
         job.host = self.random.randrange(self.hosts)
+        job.number = len(self.jobs)
         self.jobs.append(job)
-        self._offer(job)
+        self.receive(job)
+
+    def receive(self, job: Job) -> None:
+        """Let the host that got a job handle it, or relay it to its home host."""
+        home = self._homes[job.host].find(_request(job), SERVICE)
+        if home is None:
+            self._offer(job)
+            return
+        self.relays += 1
+        job.host = home.incarnation
+        self.at(self.clock.monotonic() + ONE_WAY, self._offer, job)
 
     def busy_seconds(self) -> float:
         """Return the seconds of service that all servers gave."""
@@ -115,7 +138,7 @@
 
     def _make_server(self, index: int, lies: bool) -> SlotServer:
         endpoint = Endpoint("127.0.0.1", 9000 + index)
-        server = BackendServer(f"s{index}", "reservas", endpoint, "a", slots=SLOTS)
+        server = BackendServer(f"s{index}", SERVICE, endpoint, "a", slots=SLOTS)
         return SlotServer(server, self.random, lies)
 
     def _update(self, index: int, servers: int) -> None:
@@ -125,6 +148,7 @@
         }
         listed = {s.server.server_id: s.server for s in self._servers[:servers]}
         view = View(f"h{index}", "a", servers_by_id=listed, hosts_by_id=hosts)
+        self._homes[index].update(view)
         self._apply(self._hosts[index].update(view, self.clock.monotonic()), index)
 
     def _tick(self, index: int) -> None:
@@ -136,7 +160,7 @@
         job.tries += 1
         ticket = admission.Ticket(
             ticket_id=next(self._ticket_ids),
-            service="reservas",
+            service=SERVICE,
             work_class="photos" if job.long else "bookings",
             long=job.long,
             caller=Endpoint("10.0.0.1", job.caller),
--- a/benchmarks/crest.py
+++ b/benchmarks/crest.py
@@ -59,6 +59,7 @@
     jain_normal: float
     returned_accepted: float
     sheds_per_start: float
+    relays_per_offer: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -158,6 +159,7 @@
         jain_normal=jain_index(ended_between(jobs, 0.0, SURGE_AT), CALLERS),
         returned_accepted=accepted_share(surge.returned),
         sheds_per_start=harness.sheds / harness.starts,
+        relays_per_offer=harness.relays / len(jobs),
     )
 
 
--- a/hornbeamdeal/admission/__init__.py
+++ b/hornbeamdeal/admission/__init__.py
@@ -5,6 +5,7 @@
 from ._callers import CallerShares
 from ._health import HealthState, ServerHealth, max_ejected
 from ._home import HomeSlots, HostPlace, deal_home_slots, long_slots_by_server
+from ._home_hosts import elect_home_hosts, list_places
 from ._lane import Lane
 from ._limit import LearnedLimit
 from ._placement import Demand, Placement
@@ -43,6 +44,8 @@
     "Start",
     "Ticket",
     "deal_home_slots",
+    "elect_home_hosts",
+    "list_places",
     "long_slots_by_server",
     "max_ejected",
 ]
--- a/hornbeamdeal/admission/_slot_shares.py
+++ b/hornbeamdeal/admission/_slot_shares.py
@@ -6,7 +6,6 @@
 from hornbeamdeal.kernel import (
     BackendServer,
     Between,
-    HostState,
     ServerAnswer,
     View,
     register,
@@ -14,7 +13,8 @@
 )
 
 from ._base import Decision, RefusalReason, Refuse, Ticket
-from ._home import HomeSlots, HostPlace, deal_home_slots
+from ._home import HomeSlots, deal_home_slots
+from ._home_hosts import elect_home_hosts, list_places
 from ._pool import PoolSettings, ServicePool
 
 CONSTRAINTS_BY_NAME = {
@@ -82,11 +82,12 @@
         servers_by_service: dict[str, list[BackendServer]] = {}
         for server in view.servers_by_id.values():
             servers_by_service.setdefault(server.service, []).append(server)
-        hosts = _list_places(view)
+        hosts = list_places(view)
         decisions: list[Decision] = []
         for service in self._pools.keys() | servers_by_service.keys():
             servers = servers_by_service.get(service, [])
-            home = self._deal(service, servers, hosts, view.own_id)
+            owners = elect_home_hosts(service, servers, hosts)
+            home = self._deal(service, servers, owners, view.own_id)
             decisions += self._pool(service).update(servers, home, now)
         self._drop_unused(servers_by_service)
         return self._note(decisions)
@@ -172,12 +173,3 @@
             if isinstance(decision, Refuse):
                 self._service_by_ticket.pop(decision.ticket.ticket_id, None)
         return decisions
-
-
-def _list_places(view: View) -> list[HostPlace]:
-    """Return the hosts that own slots; this one is among them unless it leaves."""
-    places = {h.host_id: HostPlace(h.host_id, h.zone) for h in view.live_hosts()}
-    own = view.hosts_by_id.get(view.own_id)
-    if own is None or own.state is not HostState.LEAVING:
-        places[view.own_id] = HostPlace(view.own_id, view.own_zone)
-    return [places[host_id] for host_id in sorted(places)]
--- a/hornbeamdeal/requests/_dispatcher.py
+++ b/hornbeamdeal/requests/_dispatcher.py
@@ -23,6 +23,7 @@
 from ._answers import AnswerMaker, reply
 from ._base import Limits, Reason
 from ._exchange import ExchangeTable
+from ._home_hosts import HomeHosts, relay_home
 from ._ledger import RunLedger
 from ._relay import RelayLog
 from ._relaying import Relayer
@@ -92,6 +93,7 @@
         """Take a new view; end relays whose issuer it calls dead."""
         now = self._begin(now)
         self.router_.update(view, now)
+        self.home_hosts_.update(view)
         actions = self.tries_.apply(self.admission.update(view, now), now)
         return actions + self.relayer_.update(view, now)
 
@@ -141,6 +143,7 @@
         self.answers_ = AnswerMaker(random=random, retry_after=limits.retry_after)
         self.ledger_ = RunLedger(limits=limits)
         self.router_ = Router()
+        self.home_hosts_ = HomeHosts()
         relay_log = RelayLog(grace=limits.relay_grace, maximum=limits.maximum_relays)
         self.relayer_ = Relayer(answers=self.answers_, log=relay_log)
         self.tries_ = TryDriver(
@@ -166,7 +169,12 @@
         route = self.router_.find(request, now)
         if isinstance(route, Reason):
             return reply(request, self._unroutable(request, route))
-        if request.idempotent or route.work_class.idempotent:
+        idempotent = request.idempotent or route.work_class.idempotent
+        if idempotent or request.run_token is None:
+            home = self.home_hosts_.find(request, route.service)
+            if home is not None:
+                return relay_home(request, home, route)
+        if idempotent:
             return self._take_idempotent(request, route, now)
         if request.run_token is None:
             return self._ask_for_token(request, route, now)
--- /dev/null
+++ b/hornbeamdeal/requests/_home_hosts.py
@@ -0,0 +1,107 @@
+"""Finds the home host to which a request of a service is relayed once.
+
+A home host owns slots of the service and queues, dispatches and answers. All
+hosts with the same view agree on the home host of a caller's message, so a
+retransmission meets the first copy. Hosts whose views differ may disagree:
+a relayed request is handled where it arrives, whatever that host's own view.
+"""
+
+from dataclasses import replace
+from typing import Any
+
+import xxhash
+
+from hornbeamdeal.admission import HostPlace, elect_home_hosts, list_places
+from hornbeamdeal.kernel import (
+    BackendServer,
+    Count,
+    EntryHost,
+    HostState,
+    RelayRequest,
+    Request,
+    View,
+)
+
+from ._routing import Route
+
+RELAY_REASON = "home_host"
+
+_Homes = list[tuple[int, EntryHost]]
+
+
+class HomeHosts:
+    """The home hosts of each service in one host's view."""
+
+    __slots__ = (
+        "has_version_",
+        "homes_by_service_",
+        "hosts_by_id_",
+        "own_id_",
+        "places_",
+        "servers_by_id_",
+    )
+
+    def __init__(self):
+        self.own_id_ = ""
+        self.has_version_ = False
+        self.places_: list[HostPlace] = []
+        self.hosts_by_id_: dict[str, EntryHost] = {}
+        self.servers_by_id_: dict[str, BackendServer] = {}
+        self.homes_by_service_: dict[str, _Homes] = {}
+
+    def update(self, view: View) -> None:
+        """Take a new view; services are elected for when they are asked for."""
+        self.own_id_ = view.own_id
+        self.has_version_ = view.version is not None
+        self.places_ = list_places(view)
+        self.hosts_by_id_ = view.hosts_by_id
+        self.servers_by_id_ = view.servers_by_id
+        self.homes_by_service_ = {}
+
+    def find(self, request: Request, service: str) -> EntryHost | None:
+        """Return the peer that a request goes to, None if it is handled here."""
+        if request.hops > 0:
+            return None
+        homes = self._homes(service)
+        if not homes:
+            return None
+        key = f"{request.caller} {request.address} {request.message_id}".encode()
+        _, home = max(homes, key=lambda item: xxhash.xxh3_64_intdigest(key, item[0]))
+        return None if home.host_id == self.own_id_ else home
+
+    def _homes(self, service: str) -> _Homes:
+        homes = self.homes_by_service_.get(service)
+        if homes is None:
+            homes = self.homes_by_service_[service] = self._elect(service)
+        return homes
+
+    def _elect(self, service: str) -> _Homes:
+        """Return the home hosts that answer, empty where every host is one."""
+        servers = [s for s in self.servers_by_id_.values() if s.service == service]
+        elected = elect_home_hosts(service, servers, self.places_)
+        if len(elected) == len(self.places_):
+            return []
+        hosts = (self.hosts_by_id_.get(place.host_id) for place in elected)
+        return [
+            (xxhash.xxh3_64_intdigest(host.host_id.encode()), host)
+            for host in hosts
+            if host is not None and self._takes_requests(host)
+        ]
+
+    def _takes_requests(self, host: EntryHost) -> bool:
+        """Tell whether requests may be relayed to a home host now.
+
+        A suspect keeps its slots, but a retransmission must not wait for the
+        5 s in which membership declares it dead. A host that has just started
+        drops requests until it has a document.
+        """
+        lacks_document = self.has_version_ and host.version is None
+        return host.state is HostState.ALIVE and not lacks_document
+
+
+def relay_home(request: Request, home: EntryHost, route: Route) -> list[Any]:
+    """Relay a request to its home host."""
+    return [
+        RelayRequest(home.endpoint, replace(request, hops=1)),
+        Count("requests_relayed", RELAY_REASON, route.service),
+    ]
--- a/hornbeamdeal/requests/_runner.py
+++ b/hornbeamdeal/requests/_runner.py
@@ -48,7 +48,10 @@
             run.exchange = exchange
         self.table.add(exchange)
         actions = self.tries.offer(exchange, now)
-        if exchange.waiting:
+        # The caller of a relayed idempotent request goes on retransmitting, so
+        # that another home host takes the request if this one dies.
+        is_left_open = run is None and request.hops > 0
+        if exchange.waiting and not is_left_open:
             return acknowledge(request) + actions
         return actions
 
