Test home hosts by scenarios and by the state machine

Cause: relayed first requests are a new way into the dispatcher; at-most-once and true "not run" must hold on it.

--- a/tests/requests/proofs.feature
+++ b/tests/requests/proofs.feature
@@ -28,6 +28,11 @@
     When the requests state machine runs with a fixed seed
     Then the requests state machine finds no violation
 
+  Scenario: relayed first requests keep the invariants too
+    Guards against a home host that runs a request twice or relays it on.
+    When the requests state machine with home hosts runs with a fixed seed
+    Then the requests state machine finds no violation
+
   Scenario: recorded traces have their stated outcomes
     Guards against the return of every counterexample and failure found so far.
     When all requests traces are replayed
--- a/tests/steps/admission_parts_steps.py
+++ b/tests/steps/admission_parts_steps.py
@@ -13,6 +13,7 @@
     LearnedLimit,
     ReturnSchedule,
     deal_home_slots,
+    elect_home_hosts,
 )
 from hornbeamdeal.kernel import BackendServer, Endpoint
 
@@ -138,3 +139,36 @@
     for _ in range(more - fewer - 1):
         context.shares.record_accept(IDLE)
     assert not context.shares.allows(IDLE, 1.0)
+
+
+def elect(zones, hosts):
+    servers = make_servers([3] * len(zones), zones)
+    return servers, elect_home_hosts("x", servers, hosts)
+
+
+@then("with {servers:d} servers of 3 these hosts are home hosts")
+def then_home_hosts(context, servers):
+    for row in context.table:
+        places = [HostPlace(f"h{i}", "a") for i in range(int(row["hosts"]))]
+        _, elected = elect(["a"] * servers, places)
+        assert len(elected) == int(row["home hosts"]), (row, len(elected))
+
+
+@then("each zone's home hosts own the slots of its own servers")
+def then_zone_homes(context):
+    places = [HostPlace(f"h{i}", "abc"[i % 3]) for i in range(30)]
+    servers, elected = elect(["a", "a", "a", "b", "b", "c"], places)
+    assert Counter(h.zone for h in elected) == {"a": 3, "b": 2, "c": 1}
+    dealt = deal(servers, elected)
+    for place in elected:
+        zones = {servers[int(key[1:])].zone for key in dealt[place.host_id]}
+        assert zones == {place.zone}, (place, zones)
+
+
+@then("the death of one of 40 hosts moves at most one home host")
+def then_stable(context):
+    places = [HostPlace(f"h{i}", "a") for i in range(40)]
+    _, before = elect(["a"] * 7, places)
+    for dead in places:
+        _, after = elect(["a"] * 7, [p for p in places if p != dead])
+        assert len(set(after) - set(before)) == (dead in before)
