--- a/benchmarks/_slots.py
+++ b/benchmarks/_slots.py
@@ -15,15 +15,19 @@
     BackendServer,
     Endpoint,
     EntryHost,
+    HostState,
     ManualClock,
     Outcome,
+    Request,
     ServerAnswer,
     View,
     create,
 )
+from hornbeamdeal.requests._home_hosts import HomeHosts
 
 from ._servers import BUDGET_SHARE, COLD_SECONDS, SLOTS, RetryBudget, SlotServer
 
+SERVICE = "reservas"
 HOSTS = 7
 SERVERS = 7
 ONE_WAY = 0.0005  # seconds
@@ -32,6 +36,12 @@
 SHED_RETRY_AFTER = 1.0  # seconds told to callers when all tries were refused
 
 
+def _request(job: "Job") -> Request:
+    caller = Endpoint("10.0.0.1", job.caller)
+    address = Endpoint("10.1.0.1", 5683)
+    return Request(caller, address, b"", job.number, "POST", "/bookings", b"", False)
+
+
 @dataclass(slots=True, eq=False)
 class Job:
     """One request of a caller as it is seen from outside."""
@@ -41,6 +51,7 @@
     offered_at: float
     deadline: float
     host: int = 0
+    number: int = 0
     tries: int = 0
     started: bool = False
     ended_at: float | None = None
@@ -60,26 +71,32 @@
         lying: int = 2,
         absent: int = 0,
         keeps_budget: bool = False,
+        hosts: int = HOSTS,
+        servers: int = SERVERS,
     ):
+        self.hosts = hosts
+        self.servers = servers
         self.random = Random(seed)
         self.clock = ManualClock()
         self.jobs: list[Job] = []
         self.sheds = 0
         self.starts = 0
-        self._budgets = [RetryBudget(keeps_budget) for _ in range(HOSTS)]
+        self.relays = 0
+        self._budgets = [RetryBudget(keeps_budget) for _ in range(hosts)]
         self._events: list = []
         self._order = count()
         self._ticket_ids = count()
         self._jobs_by_ticket: dict[int, Job] = {}
-        self._servers = [self._make_server(i, i < lying) for i in range(SERVERS)]
+        self._servers = [self._make_server(i, i < lying) for i in range(servers)]
         self._by_id = {s.server.server_id: s for s in self._servers}
         self._hosts = [
-            create("admission", plugin, random_state=seed * HOSTS + i)
-            for i in range(HOSTS)
+            create("admission", plugin, random_state=seed * hosts + i)
+            for i in range(hosts)
         ]
-        for index in range(HOSTS):
-            self._update(index, SERVERS - absent)
-            self.at(TICK * (index + 1) / HOSTS, self._tick, index)
+        self._homes = [HomeHosts() for _ in range(hosts)]
+        for index in range(hosts):
+            self._update(index, servers - absent)
+            self.at(TICK * (index + 1) / hosts, self._tick, index)
 
     def at(self, time: float, action: Callable, *arguments) -> None:
         """Run an action at a time."""
@@ -95,14 +112,26 @@
     def join_cold_server(self, at: float, spread: float) -> None:
         """Let the last server join; hosts learn of it at different times."""
         self._servers[-1].cold_until = at + COLD_SECONDS
-        for index in range(HOSTS):
-            self.at(at + self.random.uniform(0, spread), self._update, index, SERVERS)
+        for index in range(self.hosts):
+            known_at = at + self.random.uniform(0, spread)
+            self.at(known_at, self._update, index, self.servers)
 
     def offer(self, job: Job) -> None:
         """Offer a new job to a random host."""
-        job.host = self.random.randrange(HOSTS)
+        job.host = self.random.randrange(self.hosts)
+        job.number = len(self.jobs)
         self.jobs.append(job)
-        self._offer(job)
+        self.receive(job)
+
+    def receive(self, job: Job) -> None:
+        """Let the host that got a job handle it, or relay it to its home host."""
+        home = self._homes[job.host].find(_request(job), SERVICE)
+        if home is None:
+            self._offer(job)
+            return
+        self.relays += 1
+        job.host = home.incarnation
+        self.at(self.clock.monotonic() + ONE_WAY, self._offer, job)
 
     def busy_seconds(self) -> float:
         """Return the seconds of service that all servers gave."""
@@ -110,18 +139,23 @@
 
     def _make_server(self, index: int, lies: bool) -> SlotServer:
         endpoint = Endpoint("127.0.0.1", 9000 + index)
-        server = BackendServer(f"s{index}", "reservas", endpoint, "a", slots=SLOTS)
+        server = BackendServer(f"s{index}", SERVICE, endpoint, "a", slots=SLOTS)
         return SlotServer(server, self.random, lies)
 
     def _update(self, index: int, servers: int) -> None:
-        hosts = {
-            f"h{i}": EntryHost(f"h{i}", i, Endpoint("127.0.0.1", 7000 + i), "a")
-            for i in range(HOSTS)
-        }
+        hosts = self._view_hosts(index)
         listed = {s.server.server_id: s.server for s in self._servers[:servers]}
         view = View(f"h{index}", "a", servers_by_id=listed, hosts_by_id=hosts)
+        self._homes[index].update(view)
         self._apply(self._hosts[index].update(view, self.clock.monotonic()), index)
 
+    def _view_hosts(self, index: int) -> dict[str, EntryHost]:
+        return {f"h{i}": self._make_host(i) for i in range(self.hosts)}
+
+    def _make_host(self, index: int, state: HostState = HostState.ALIVE) -> EntryHost:
+        endpoint = Endpoint("127.0.0.1", 7000 + index)
+        return EntryHost(f"h{index}", index, endpoint, "a", state)
+
     def _tick(self, index: int) -> None:
         now = self.clock.monotonic()
         self._apply(self._hosts[index].tick(now), index)
@@ -131,7 +165,7 @@
         job.tries += 1
         ticket = admission.Ticket(
             ticket_id=next(self._ticket_ids),
-            service="reservas",
+            service=SERVICE,
             work_class="photos" if job.long else "bookings",
             long=job.long,
             caller=Endpoint("10.0.0.1", job.caller),
