Test the pause check and an address that moves between services

Cause: the check after a pause and the hold-down had no test in real processes. Ruled out: judging by callers' answers; servers record their first and last start on the machine's monotonic clock.

--- a/demo/_arequipa.py
+++ b/demo/_arequipa.py
@@ -35,6 +35,16 @@
     return text
 
 
+def move_address(document: str, address: str, source: str, target: str) -> str:
+    """Return the document with an address moved to another service."""
+    line = f"      {address}: {{kind: requests}}\n"
+    without = document.replace(line, "", 1)
+    start = without.index(f"  {target}:\n    addresses:\n")
+    position = without.index("addresses:\n", start) + len("addresses:\n")
+    assert line in document and f"  {source}:" in document
+    return without[:position] + line + without[position:]
+
+
 def make_layout(
     work: str = "/bookings=20ms,/rides=20ms,/photos=1s",
     codec: str = "coap",
--- a/hornbeamdeal/standins/server.py
+++ b/hornbeamdeal/standins/server.py
@@ -1,6 +1,7 @@
 """Stand-in of a backend server: requests in slots, and watched flows."""
 
 import json
+import time
 from collections import Counter
 from dataclasses import dataclass
 
@@ -54,6 +55,8 @@
         "scopes_by_exchange_",
         "runs_by_id_",
         "counts_",
+        "first_start_",
+        "last_start_",
     )
 
     def __init__(self, *, name, service, work, notify_seconds, connections):
@@ -66,6 +69,8 @@
         self.scopes_by_exchange_: dict[tuple, trio.CancelScope] = {}
         self.runs_by_id_: Counter[str] = Counter()
         self.counts_: Counter[str] = Counter()
+        self.first_start_: float | None = None
+        self.last_start_: float | None = None
 
     async def run(self, listen: Endpoint, control: Endpoint) -> None:
         """Serve until cancelled."""
@@ -91,6 +96,8 @@
             "doubled": doubled,
             "flows": len(self.flows_by_key_),
             "busy": self.work.busy_,
+            "first_start": self.first_start_,
+            "last_start": self.last_start_,
         }
 
     async def _receive(self, data: bytes, sender) -> None:
@@ -132,6 +139,9 @@
         run_id = request.payload.split(b" ", 1)[0].decode(errors="replace")
         self.runs_by_id_[run_id] += 1
         self.counts_["started"] += 1
+        # The system's monotonic clock, so that servers of one machine compare.
+        self.last_start_ = time.monotonic()
+        self.first_start_ = self.first_start_ or self.last_start_
         exchange = (sender, request.message_id)
         with trio.CancelScope(deadline=now + request.deadline_seconds) as scope:
             self.scopes_by_exchange_[exchange] = scope
--- a/tests/daemon/failures.feature
+++ b/tests/daemon/failures.feature
@@ -66,6 +66,14 @@
     When the platform is up again with version 3
     Then version 3 is in force on all hosts within 4 seconds
 
+  Scenario: an address moves to another service while a host is paused
+    Guards against a packet for one service that reaches the other: hosts hold
+    different versions for a while, one wakes late with the old one.
+    Given the environment of Arequipa runs
+    When an address of devoluciones moves to reservas while a host is paused
+    Then reservas starts work of the address only after devoluciones has stopped
+    And the moved address is served again
+
   Scenario: bad input of every kind harms nothing else
     Guards against a stranger who steers flows, publishes versions or stops a host.
     Given the environment of Arequipa runs
--- a/tests/steps/daemon_steps.py
+++ b/tests/steps/daemon_steps.py
@@ -11,7 +11,7 @@
 import trio
 from behave import given, then, when
 
-from demo._arequipa import make_document, make_layout
+from demo._arequipa import make_document, make_layout, move_address
 from hornbeamdeal.load import FlowProfile, LoadRun, RequestProfile
 from hornbeamdeal.standins.environment import (
     ADMIN_PORT,
@@ -191,6 +191,58 @@
     context.environment.control_platform(down=False)
 
 
+@when("an address of devoluciones moves to reservas while a host is paused")
+def when_moved(context):
+    environment = context.environment
+    address = environment.address("devoluciones-requests")
+    rides = RequestProfile("GET", "/rides", (80.0,), 14.0, 5.0)
+    context.rides = LoadRun(random_state=12)
+    moved = move_address(
+        make_document(2), "devoluciones-requests", "devoluciones", "reservas"
+    )
+
+    def change():
+        time.sleep(2.0)
+        environment.pause_host("aqp-cayma-entry-1")
+        environment.publish_document(moved)
+        time.sleep(6.5)
+        environment.resume_host("aqp-cayma-entry-1")
+
+    async def run():
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(context.rides.run_requests, address, rides)
+            await trio.to_thread.run_sync(change)
+
+    trio.run(run)
+
+
+@then("reservas starts work of the address only after devoluciones has stopped")
+def then_separate(context):
+    reports = server_reports(context)
+    last_old = max(
+        report["last_start"] or 0.0
+        for report in reports
+        if report["server"].startswith("devoluciones")
+    )
+    first_new = min(
+        report["first_start"] or float("inf")
+        for report in reports
+        if report["server"].startswith("reservas")
+    )
+    assert 0.0 < last_old < first_new, (last_old, first_new)
+
+
+@then("the moved address is served again")
+def then_served_again(context):
+    reports = server_reports(context)
+    started = sum(
+        report["counts"].get("started", 0)
+        for report in reports
+        if report["server"].startswith("reservas")
+    )
+    assert started > 50, started
+
+
 @when("garbage is sent to every port of a host")
 def when_garbage(context):
     ip = context.environment.hosts_by_id_["aqp-cercado-entry-1"]["ip"]
