Cut zones from each other in real processes

Cause: partitions were shown in memory only; hosts' sockets can't be cut without isolation tools. Ruled out: a switch for cuts in the daemon. A stand-in of the network translates addresses one to one, so the daemon only needs to advertise another endpoint. Change: hornbeamdeal-network, setting peer_advertise, cuts at servers and platform, a scenario; bulk streams and platform reads come from the host's IP.

--- a/hornbeamdeal/daemon/_assembly.py
+++ b/hornbeamdeal/daemon/_assembly.py
@@ -76,7 +76,9 @@
 def _make_membership(
     settings: EntrySettings, incarnation: int, random_state: int
 ) -> Membership:
-    own = EntryHost(settings.host_id, incarnation, settings.peer_listen, settings.zone)
+    own = EntryHost(
+        settings.host_id, incarnation, settings.peer_advertise, settings.zone
+    )
     return Membership(own=own, seeds=settings.seeds, random_state=random_state)
 
 
@@ -97,7 +99,7 @@
         admission=create("admission", settings.admission, random_state=random_state),
         host_id=settings.host_id,
         incarnation=incarnation,
-        endpoint=settings.peer_listen,
+        endpoint=settings.peer_advertise,
         token_key=keys[0],
         previous_token_key=keys[1] if len(keys) > 1 else None,
         random_state=random_state,
--- a/hornbeamdeal/daemon/_driver.py
+++ b/hornbeamdeal/daemon/_driver.py
@@ -511,7 +511,8 @@
         if action.after_revision is not None:
             target += f"?after={action.after_revision}"
         self.metrics.count(Count("platform_calls"))
-        response = await wire.get(self.settings.platform, target)
+        source_ip = self.settings.peer_listen.ip
+        response = await wire.get(self.settings.platform, target, source_ip)
         event = make_platform_event(action, response)
         self.feed(event, (self.components.dissemination,))
 
--- a/hornbeamdeal/daemon/_ports.py
+++ b/hornbeamdeal/daemon/_ports.py
@@ -76,7 +76,10 @@
         """Send one message; a failure counts as a lost message."""
         with trio.move_on_after(BULK_TIMEOUT_SECONDS):
             try:
-                stream = await trio.open_tcp_stream(destination.ip, destination.port)
+                # Peers and address translation tell hosts apart by this address.
+                stream = await trio.open_tcp_stream(
+                    destination.ip, destination.port, local_address=self.listen.ip
+                )
                 async with stream:
                     await stream.send_all(len(data).to_bytes(LENGTH_BYTES, "big"))
                     await stream.send_all(data)
--- a/hornbeamdeal/settings/_entry.py
+++ b/hornbeamdeal/settings/_entry.py
@@ -15,6 +15,7 @@
     parse_endpoints,
     parse_keys,
     parse_name,
+    parse_optional,
     parse_plugin,
 )
 
@@ -45,6 +46,7 @@
     fabric_listen: Endpoint
     server_listen: Endpoint
     peer_listen: Endpoint
+    peer_advertise: Endpoint
     admin_listen: Endpoint
     platform: Endpoint
     seeds: tuple[Endpoint, ...]
@@ -74,6 +76,7 @@
     Setting("fabric_listen", parse_endpoint, None, "UDP endpoint for the fabric"),
     Setting("server_listen", parse_endpoint, None, "UDP endpoint for backend servers"),
     Setting("peer_listen", parse_endpoint, None, "UDP and TCP endpoint for peers"),
+    Setting("peer_advertise", parse_optional, "", "endpoint that peers are told"),
     Setting("admin_listen", parse_endpoint, None, "HTTP endpoint for operators"),
     Setting("platform", parse_endpoint, None, "HTTP endpoint of the platform"),
     Setting("seeds", parse_endpoints, "", "peers to join through, by commas"),
@@ -102,7 +105,10 @@
                 errors.append(error)
     if not errors and values["sending_key"] not in values["peer_keys"]:
         errors.append(SettingError("sending_key", "must be one of the peer_keys"))
-    return Err(errors) if errors else Ok(EntrySettings(**values))
+    if errors:
+        return Err(errors)
+    values["peer_advertise"] = values["peer_advertise"] or values["peer_listen"]
+    return Ok(EntrySettings(**values))
 
 
 def _load(
--- a/hornbeamdeal/settings/_parsing.py
+++ b/hornbeamdeal/settings/_parsing.py
@@ -22,6 +22,11 @@
         raise ValueError("an IP number, not a host name, before the port") from None
 
 
+def parse_optional(text: str) -> Endpoint | None:
+    """Parse an endpoint; an empty text gives None."""
+    return parse_endpoint(text) if text.strip() else None
+
+
 def parse_endpoints(text: str) -> tuple[Endpoint, ...]:
     """Parse endpoints separated by commas; an empty text gives none."""
     return tuple(parse_endpoint(part) for part in text.split(",") if part.strip())
--- a/hornbeamdeal/standins/environment.py
+++ b/hornbeamdeal/standins/environment.py
@@ -29,6 +29,10 @@
 CONTROL_TIMEOUT_SECONDS = 2.0
 POLL_SECONDS = 0.05
 SEED_COUNT = 2
+HOSTS = 16
+# Last numbers of the IPs: those of hosts, and those that peers are told.
+OWN_OFFSET = 10
+ADVERTISED_OFFSET = 30
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,6 +99,7 @@
         for name, target in self.targets_by_name_.items():
             self._start_server(name, target)
         self._start_fabric()
+        self._start_network()
         for host_id in self.hosts_by_id_:
             self.start_host(host_id)
         self.wait_ready(list(self.hosts_by_id_))
@@ -144,7 +149,7 @@
     def start_host(self, host_id: str) -> None:
         """Start an entry host and give it to the fabric."""
         host = self.hosts_by_id_[host_id]
-        ip = host["ip"]
+        ip = self.own_ip(host_id)
         flags = {
             "host_id": host_id,
             "zone": host["zone"],
@@ -152,6 +157,7 @@
             "fabric_listen": f"{ip}:{FABRIC_PORT}",
             "server_listen": f"{ip}:{SERVER_PORT}",
             "peer_listen": f"{ip}:{PEER_PORT}",
+            "peer_advertise": f"{host['ip']}:{PEER_PORT}",
             "admin_listen": f"{ip}:{ADMIN_PORT}",
             "platform": f"{self.prefix_}.3:{ADMIN_PORT}",
             "seeds": self._seeds(host_id),
@@ -207,9 +213,7 @@
 
     def use_hosts(self, host_ids: list[str]) -> None:
         """Tell the fabric which entry hosts get packets."""
-        entries = [
-            f"{self.hosts_by_id_[host_id]['ip']}:{FABRIC_PORT}" for host_id in host_ids
-        ]
+        entries = [f"{self.own_ip(host_id)}:{FABRIC_PORT}" for host_id in host_ids]
         self.control_fabric(entries=",".join(entries))
 
     # Control ports and pages
@@ -227,6 +231,38 @@
         ip = self.targets_by_name_[name]["ip"]
         return control(Endpoint(ip, CONTROL_PORT), message)
 
+    def own_ip(self, host_id: str) -> str:
+        """Return the IP that an entry host's own sockets are bound to."""
+        prefix, _, last = self.hosts_by_id_[host_id]["ip"].rpartition(".")
+        return f"{prefix}.{int(last) - ADVERTISED_OFFSET + OWN_OFFSET}"
+
+    def cut_zone(self, zone: str, from_platform: bool = True) -> None:
+        """Cut a zone's hosts and servers off from all others."""
+        inside = [h for h, r in self.hosts_by_id_.items() if r["zone"] == zone]
+        outside = [h for h in self.hosts_by_id_ if h not in inside]
+        pairs = [(self._shown(a), self._shown(b)) for a in inside for b in outside]
+        pairs += [(target, source) for source, target in pairs]
+        self.control_network(cut=pairs)
+        for name, target in self.targets_by_name_.items():
+            lost = outside if target["zone"] == zone else inside
+            self.control_server(name, cut=[self.own_ip(h) for h in lost])
+        if from_platform:
+            self.control_platform(cut=[self.own_ip(h) for h in inside])
+
+    def heal(self) -> None:
+        """End all cuts."""
+        self.control_network(cut=[])
+        self.control_platform(cut=[])
+        for name in self.targets_by_name_:
+            self.control_server(name, cut=[])
+
+    def _shown(self, host_id: str) -> str:
+        return self.hosts_by_id_[host_id]["ip"]
+
+    def control_network(self, **message) -> dict:
+        """Send a control message to the network between entry hosts."""
+        return control(Endpoint(f"{self.prefix_}.4", CONTROL_PORT), message)
+
     def address(self, name: str) -> Endpoint:
         """Return the endpoint of a service address."""
         record = self.addresses_by_name_[name]
@@ -234,7 +270,7 @@
 
     def read_page(self, host_id: str, page: str) -> tuple[int, bytes]:
         """Read a page of an entry host's endpoint for operators."""
-        ip = self.hosts_by_id_[host_id]["ip"]
+        ip = self.own_ip(host_id)
         connection = http.client.HTTPConnection(ip, ADMIN_PORT, timeout=1)
         try:
             connection.request("GET", page)
@@ -304,7 +340,7 @@
 
     def _host_record(self, index: int, zone: str) -> dict:
         return {
-            "ip": f"{self.prefix_}.{10 + index}",
+            "ip": f"{self.prefix_}.{ADVERTISED_OFFSET + index}",
             "port": PEER_PORT,
             "zone": zone,
             "state": "live",
@@ -323,15 +359,26 @@
         }
         self._start("platform", "hornbeamdeal-platform", flags)
 
+    def _start_network(self) -> None:
+        # Hosts that join later have their place in the network from the start.
+        advertised = [f"{self.prefix_}.{ADVERTISED_OFFSET + i}" for i in range(HOSTS)]
+        own = [f"{self.prefix_}.{OWN_OFFSET + i}" for i in range(HOSTS)]
+        flags = {
+            "advertised": ",".join(f"{ip}:{PEER_PORT}" for ip in advertised),
+            "real": ",".join(f"{ip}:{PEER_PORT}" for ip in own),
+            "control": f"{self.prefix_}.4:{CONTROL_PORT}",
+        }
+        self._start("network", "hornbeamdeal-network", flags)
+
     def _start_fabric(self) -> None:
         ip = f"{self.prefix_}.2"
-        hosts = self.hosts_by_id_.values()
+        hosts = self.hosts_by_id_
         addresses = self.addresses_by_name_.values()
         flags = {
             "inside": f"{ip}:{FABRIC_PORT}",
             "control": f"{ip}:{CONTROL_PORT}",
             "addresses": ",".join(f"{a['ip']}:{a['port']}" for a in addresses),
-            "entries": ",".join(f"{host['ip']}:{FABRIC_PORT}" for host in hosts),
+            "entries": ",".join(f"{self.own_ip(h)}:{FABRIC_PORT}" for h in hosts),
         }
         self._start("fabric", "hornbeamdeal-fabric", flags)
 
--- a/hornbeamdeal/standins/platform.py
+++ b/hornbeamdeal/standins/platform.py
@@ -25,18 +25,20 @@
     A value's revision is the modification time of its file in nanoseconds.
     """
 
-    __slots__ = ("folder", "down", "delay", "frozen_", "calls_", "watches_")
+    __slots__ = ("folder", "down", "delay", "cut", "frozen_", "calls_", "watches_")
 
     def __init__(self, *, folder: Path):
         self.folder = folder
         self.down = False
         self.delay = 0.0
+        self.cut: set[str] = set()
         self.frozen_: dict[str, tuple[bytes, int]] | None = None
         self.calls_ = 0
         self.watches_ = 0
 
     def configure(self, message: dict) -> dict:
-        """Take a control message: down, delay, stale."""
+        """Take a control message: down, delay, stale, cut (IPs of hosts)."""
+        self.cut = set(message.get("cut", self.cut))
         self.down = bool(message.get("down", self.down))
         self.delay = float(message.get("delay", self.delay))
         if "stale" in message:
@@ -47,7 +49,7 @@
         """Answer a read or a watch; None closes the connection."""
         self.calls_ += 1
         await trio.sleep(self.delay)
-        if self.down:
+        if self.down or request.sender_ip in self.cut:
             return None
         key = request.path.removeprefix("/v1/")
         after = request.query.get("after")
@@ -55,6 +57,8 @@
         if after is not None:
             self.watches_ += 1
             value = await self._watch(key, int(after))
+            if request.sender_ip in self.cut:
+                return None
             if value is None:
                 return HttpResponse(304, b"", {})
         if self.down:
--- a/hornbeamdeal/standins/server.py
+++ b/hornbeamdeal/standins/server.py
@@ -49,6 +49,7 @@
         "work",
         "notify_seconds",
         "connections",
+        "cut",
         "udp_",
         "nursery_",
         "flows_by_key_",
@@ -65,6 +66,7 @@
         self.work = work
         self.notify_seconds = notify_seconds
         self.connections = connections
+        self.cut: set[str] = set()
         self.flows_by_key_: dict[tuple, WatchedFlow] = {}
         self.scopes_by_exchange_: dict[tuple, trio.CancelScope] = {}
         self.runs_by_id_: Counter[str] = Counter()
@@ -80,10 +82,16 @@
             self.nursery_.start_soon(self._notify_flows)
             while True:
                 data, sender = await self.udp_.recvfrom(MAXIMUM_DATAGRAM_BYTES)
-                await self._receive(data, sender)
+                if sender[0] not in self.cut:
+                    await self._receive(data, sender)
 
     def configure(self, message: dict) -> dict:
-        """Take a control message (draining, lie, service) and return the counts."""
+        """Take a control message and return the counts.
+
+        The message may set draining, lie, service and cut (IPs of hosts whose
+        datagrams are lost in both directions).
+        """
+        self.cut = set(message.get("cut", self.cut))
         self.work.draining = bool(message.get("draining", self.work.draining))
         self.work.lie = message.get("lie", self.work.lie)
         self.service = message.get("service", self.service)
@@ -155,7 +163,11 @@
         load = self.work.reported_load(trio.current_time())
         max_age = RETRY_AFTER_SECONDS if code == "SERVICE_UNAVAILABLE" else None
         data = encode_from_server(request, code, payload, load, max_age)
-        await self.udp_.sendto(data, sender)
+        await self._send(data, sender)
+
+    async def _send(self, data: bytes, entry: tuple[str, int]) -> None:
+        if entry[0] not in self.cut:
+            await self.udp_.sendto(data, entry)
 
     async def _receive_flow(self, datagram, sender) -> None:
         message = decode_flow_for_server(datagram.payload)
@@ -209,7 +221,7 @@
         text = json.dumps({"server": self.name, "number": flow.number})
         payload = encode_notification(flow.token, flow.number, text.encode())
         data = encode_proxied(flow.caller, flow.address, payload, self.service)
-        await self.udp_.sendto(data, flow.entry)
+        await self._send(data, flow.entry)
 
 
 def run(
--- a/hornbeamdeal/wire/_http.py
+++ b/hornbeamdeal/wire/_http.py
@@ -38,6 +38,7 @@
     method: str
     path: str
     query: dict[str, str] = field(default_factory=dict)
+    sender_ip: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,11 +58,15 @@
         connection.receive_data(await stream.receive_some(RECEIVE_BYTES))
 
 
-async def get(endpoint: Endpoint, target: str) -> Result[HttpResponse, HttpError]:
+async def get(
+    endpoint: Endpoint, target: str, source_ip: str | None = None
+) -> Result[HttpResponse, HttpError]:
     """Read a target by GET; a failure names the endpoint."""
     try:
         with trio.fail_after(REQUEST_TIMEOUT_SECONDS):
-            stream = await trio.open_tcp_stream(endpoint.ip, endpoint.port)
+            stream = await trio.open_tcp_stream(
+                endpoint.ip, endpoint.port, local_address=source_ip
+            )
             async with stream:
                 return await _exchange(stream, endpoint, target)
     except (trio.TooSlowError, *_FAILURES) as error:
@@ -113,7 +118,10 @@
         return
     parts = urlsplit(received.target.decode())
     request = HttpRequest(
-        received.method.decode(), parts.path, dict(parse_qsl(parts.query))
+        received.method.decode(),
+        parts.path,
+        dict(parse_qsl(parts.query)),
+        stream.socket.getpeername()[0],
     )
     try:
         response = await respond(request)
--- a/tests/daemon/failures.feature
+++ b/tests/daemon/failures.feature
@@ -74,6 +74,21 @@
     Then reservas starts work of the address only after devoluciones has stopped
     And the moved address is served again
 
+  Scenario: a zone is cut off from the others and from the platform, then heals
+    Guards against work that is lost or doubled across a partition, a cut zone
+    that stops serving, versions that differ for good.
+    Given the environment of Arequipa runs
+    When a zone is cut off while load is offered and version 2 is published
+    Then the version is in force on all hosts within 3 seconds
+    And the cut zone goes on with version 1
+    And no booking ran twice
+    And no booking refused as not run did run
+    And no caller got another caller's answer
+    And no flow is broken
+    And at least 95% of the offered rides were answered
+    When the zone is connected again
+    Then version 2 is in force on all hosts within 4 seconds
+
   Scenario: bad input of every kind harms nothing else
     Guards against a stranger who steers flows, publishes versions or stops a host.
     Given the environment of Arequipa runs
--- a/tests/steps/daemon_steps.py
+++ b/tests/steps/daemon_steps.py
@@ -25,6 +25,7 @@
 LOAD_SECONDS = 9.0
 SETTLE_SECONDS = 3.5
 DRAINED = "reservas-2"
+CUT_ZONE = "aqp-cayma"
 FINAL_CODES = {"CONTENT", "SERVICE_UNAVAILABLE", "GATEWAY_TIMEOUT", "BAD_GATEWAY"}
 
 
@@ -243,9 +244,46 @@
     assert started > 50, started
 
 
+def split_hosts(environment):
+    """Return the hosts inside and outside the zone that is cut off."""
+    hosts = environment.hosts_by_id_.items()
+    inside = [h for h, record in hosts if record["zone"] == CUT_ZONE]
+    return inside, [h for h, _ in hosts if h not in inside]
+
+
+@when("a zone is cut off while load is offered and version 2 is published")
+def when_cut(context):
+    environment = context.environment
+
+    def change():
+        environment.cut_zone(CUT_ZONE)
+        environment.publish_document(make_document(2))
+        published_at = time.monotonic()
+        outside = split_hosts(environment)[1]
+        environment.wait_version(2, outside)
+        context.seconds_to_force = time.monotonic() - published_at
+        time.sleep(3.0)
+
+    trio.run(offer_load, context, change)
+
+
+@then("the cut zone goes on with version {number:d}")
+def then_cut_version(context, number):
+    environment = context.environment
+    for host_id in split_hosts(environment)[0]:
+        status = environment.status(host_id)
+        assert status["version_number"] == number, status
+        assert status["ready"], status
+
+
+@when("the zone is connected again")
+def when_healed(context):
+    context.environment.heal()
+
+
 @when("garbage is sent to every port of a host")
 def when_garbage(context):
-    ip = context.environment.hosts_by_id_["aqp-cercado-entry-1"]["ip"]
+    ip = context.environment.own_ip("aqp-cercado-entry-1")
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
         for port in (FABRIC_PORT, SERVER_PORT, PEER_PORT):
             for data in (b"", b"x", b"\xff" * 40, b"\r\n\r\n\0\r\nQUIT\n!\x12\xff\xff"):
@@ -403,8 +441,8 @@
 
 
 def admin_endpoints(environment):
-    hosts = environment.hosts_by_id_.values()
-    return [f"{host['ip']}:{ADMIN_PORT}" for host in hosts]
+    host_ids = environment.hosts_by_id_
+    return [f"{environment.own_ip(h)}:{ADMIN_PORT}" for h in host_ids]
 
 
 @then("ctl status shows version 1 on all hosts")
