--- a/benchmarks/crest.py
+++ b/benchmarks/crest.py
@@ -142,8 +142,8 @@
     """Measure one plug-in at one level with one seed."""
     surge = Surge(setup)
     surge.run()
-    jobs = surge.harness.jobs
     harness = surge.harness
+    jobs = harness.jobs
     first, last = SURGE_AT + RAMP, SURGE_AT + RAMP + SURGE
     possible = real_capacity(setup.servers, first, last)
     return CrestResult(
@@ -164,7 +164,7 @@
 
 
 def real_capacity(servers: int, first: float, last: float) -> float:
-    """Return the requests that can end in a time with one server cold at first."""
+    """Return the requests that can end in a time; one server is cold at first."""
     cold = max(0.0, min(last, SURGE_AT + COLD_SECONDS) - first)
     lost = cold * SLOTS / MEAN_SHORT * (1 - 1 / COLD_FACTOR)
     return (last - first) * capacity(servers) - lost
@@ -191,9 +191,9 @@
 def summarise(results: Sequence[CrestResult]) -> list[dict]:
     """Return medians, spreads and the verdict for each plug-in and level."""
     rows = []
-    for key in dict.fromkeys(_group(r) for r in results):
-        own = [result for result in results if _group(result) == key]
-        row: dict = dict(zip(("plugin", "hosts", "level"), key, strict=True))
+    for key in dict.fromkeys((r.plugin, r.hosts, r.level) for r in results):
+        own = [r for r in results if (r.plugin, r.hosts, r.level) == key]
+        row = dict(zip(("plugin", "hosts", "level"), key, strict=True))
         for name in list(asdict(own[0]))[4:]:
             row[name] = median(getattr(result, name) for result in own)
         for name in ("goodput", "refusal_p99_ms", "normal_after_s"):
@@ -204,10 +204,6 @@
     return rows
 
 
-def _group(result: CrestResult) -> tuple[str, int, float]:
-    return result.plugin, result.hosts, result.level
-
-
 def missed_bounds(row: dict) -> list[str]:
     """Return the bounds that the medians miss."""
     met = {
--- a/hornbeamdeal/requests/_dispatcher.py
+++ b/hornbeamdeal/requests/_dispatcher.py
@@ -23,7 +23,7 @@
 from ._answers import AnswerMaker, reply
 from ._base import Limits, Reason
 from ._exchange import ExchangeTable
-from ._home_hosts import HomeHosts, relay_home
+from ._home_hosts import HomeHosts
 from ._ledger import RunLedger
 from ._relay import RelayLog
 from ._relaying import Relayer
@@ -170,10 +170,9 @@
         if isinstance(route, Reason):
             return reply(request, self._unroutable(request, route))
         idempotent = request.idempotent or route.work_class.idempotent
-        if idempotent or request.run_token is None:
-            home = self.home_hosts_.find(request, route.service)
-            if home is not None:
-                return relay_home(request, home, route)
+        is_first = idempotent or request.run_token is None
+        if is_first and (relay := self.home_hosts_.relay(request, route)):
+            return relay
         if idempotent:
             return self._take_idempotent(request, route, now)
         if request.run_token is None:
--- a/hornbeamdeal/requests/_home_hosts.py
+++ b/hornbeamdeal/requests/_home_hosts.py
@@ -58,6 +58,16 @@
         self.servers_by_id_ = view.servers_by_id
         self.homes_by_service_ = {}
 
+    def relay(self, request: Request, route: Route) -> list[Any]:
+        """Relay a request to its home host; do nothing if it is handled here."""
+        home = self.find(request, route.service)
+        if home is None:
+            return []
+        return [
+            RelayRequest(home.endpoint, replace(request, hops=1)),
+            Count("requests_relayed", RELAY_REASON, route.service),
+        ]
+
     def find(self, request: Request, service: str) -> EntryHost | None:
         """Return the peer that a request goes to, None if it is handled here."""
         if request.hops > 0:
@@ -97,11 +107,3 @@
         """
         lacks_document = self.has_version_ and host.version is None
         return host.state is HostState.ALIVE and not lacks_document
-
-
-def relay_home(request: Request, home: EntryHost, route: Route) -> list[Any]:
-    """Relay a request to its home host."""
-    return [
-        RelayRequest(home.endpoint, replace(request, hops=1)),
-        Count("requests_relayed", RELAY_REASON, route.service),
-    ]
--- a/tests/steps/requests_machine.py
+++ b/tests/steps/requests_machine.py
@@ -42,9 +42,8 @@
 
     def __init__(self):
         super().__init__()
-        self.fleet = HostFleet(
-            self.incarnations_by_host, plugin=self.plugin, limits=LIMITS
-        )
+        hosts = self.incarnations_by_host
+        self.fleet = HostFleet(hosts, plugin=self.plugin, limits=LIMITS)
         self.now = 0.0
         self.sent = 0
         self.jobs_by_name = {}
@@ -195,11 +194,10 @@
     @invariant()
     def each_message_is_answered_once(self):
         """A relaying host may add one "issuer gone", which claims nothing."""
-        heard = [
-            (request.token, answer.reason == "issuer_gone")
-            for request, answer in self.fleet.replies
-            if request.token not in self.retransmitted
+        replies = [
+            r for r in self.fleet.replies if r[0].token not in self.retransmitted
         ]
+        heard = [(r.token, a.reason == "issuer_gone") for r, a in replies]
         assert len(heard) == len(set(heard)), "a message got two answers"
 
     def teardown(self):
