Show new flows that are assigned to a killed server

Cause: owners assign new flows to every server that the document calls active; nothing that hosts see of a server's reachability reaches steering. Ruled out: the host list and the servers' health endpoints, which lag or mislead. A repeated opening packet gets the same server for 15 s, so callers do not get away from a dead server by themselves.

Change: a process-level scenario and a harness event.

--- a/benchmarks/flow_callers.py
+++ b/benchmarks/flow_callers.py
@@ -7,6 +7,8 @@
 ADDRESS = Endpoint("10.0.0.1", 5683)
 REFRESH_SECONDS = (10.0, 20.0)
 RETRY_SECONDS = 2.0
+# As RFC 7252 has it, each of the repeats waits twice as long as the one before.
+MAXIMUM_REPEATS = 4
 LEAVING_BOUND_SECONDS = 3.0
 
 
@@ -19,6 +21,9 @@
     server_id: str = ""
     handle: bytes | None = None
     is_broken: bool = False
+    opened_at: float | None = None
+    answered_at: float | None = None
+    repeats: int = 0
 
 
 class Callers:
@@ -44,6 +49,8 @@
         opens = None if self.codec == "opaque" else flow.handle is None
         packet = FlowPacket(flow.caller, ADDRESS, b"", opens, flow.token, flow.handle)
         self.packets += 1
+        if flow.opened_at is None:
+            flow.opened_at = self.cluster.now
         self.cluster.receive(host_id, packet)
         if is_repeated:
             delay = self.cluster.random.uniform(*REFRESH_SECONDS)
@@ -61,6 +68,8 @@
     def arrive(self, steering, server, packet):
         """Take note of the server that a packet reached."""
         flow = self._flow(packet)
+        if flow.answered_at is None:
+            flow.answered_at = self.cluster.now
         if not flow.server_id:
             left_at = self.cluster.left_at.get(server.server_id, self.cluster.now)
             self.late += self.cluster.now - left_at > LEAVING_BOUND_SECONDS
@@ -74,6 +83,24 @@
         if packet.opens:
             flow.handle = steering.make_handle(server, flow.token)
 
+    def wait(self, packet):
+        """Repeat an opening packet that a server has not answered."""
+        flow = self._flow(packet)
+        if flow.answered_at is None and flow.repeats < MAXIMUM_REPEATS:
+            delay = RETRY_SECONDS * 2**flow.repeats
+            flow.repeats += 1
+            self.cluster.at(delay, self.emit, flow, False)
+
+    def unanswered(self, since, seconds):
+        """Return how many flows opened since a time, and those that waited longer."""
+        opened = [f for f in self.flows if f.opened_at and f.opened_at > since]
+        late = [
+            f
+            for f in opened
+            if f.answered_at is None or f.answered_at - f.opened_at > seconds
+        ]
+        return len(opened), len(late)
+
     def broken(self):
         """Return the number of broken flows."""
         return sum(flow.is_broken for flow in self.flows)
--- a/benchmarks/flow_cluster.py
+++ b/benchmarks/flow_cluster.py
@@ -73,6 +73,7 @@
         self.hosts: dict[str, Host] = {}
         self.documents = [(1, make_servers(weights))]
         self.left_at: dict[str, float] = {}
+        self.dead_servers: set[str] = set()
         self.fabric: list[str] = []
         self.relays = 0
         self.callers = Callers(self, codec, f"10.9.{seed % 256}.1")
@@ -140,10 +141,16 @@
                 packet = replace(action.packet, relayed_by=host.entry.host_id)
                 self.at(LINK_SECONDS, self.receive, action.host_id, packet)
             elif isinstance(action, ForwardPacket):
-                self.callers.arrive(host.steering, action.server, action.packet)
+                self._reach_server(host, action)
             elif hasattr(action, "packet"):
                 self.callers.drop(action.packet)
 
+    def _reach_server(self, host, action):
+        if action.server.server_id in self.dead_servers:
+            self.callers.wait(action.packet)
+            return
+        self.callers.arrive(host.steering, action.server, action.packet)
+
     def _send(self, host, action):
         codec = PeerCodec(
             host_id=host.entry.host_id,
@@ -241,6 +248,10 @@
         self._add(entry, {**known, entry.host_id: entry})
         self._announce(entry, GOSSIP_SECONDS)
 
+    def kill_server(self, server_id):
+        """Kill a server: no packet to it is answered, and no document says so."""
+        self.dead_servers.add(server_id)
+
     def kill(self, host_id):
         """Kill a host; peers and fabric notice within seconds."""
         host = self.hosts.pop(host_id)
--- a/tests/daemon/failures.feature
+++ b/tests/daemon/failures.feature
@@ -21,6 +21,13 @@
     And no flow is broken
     And no booking ran twice
 
+  Scenario: a backend server is killed while flows open
+    Guards against new flows that are assigned to a dead server again and again.
+    Given the environment of Arequipa runs
+    When a backend server is killed and flows open for 12 seconds
+    Then every flow that opened after the kill was answered
+    And the hosts found the killed server unreachable
+
   Scenario: opaque flows stay on their server through a drain and a planned stop
     Guards against flows without handles that move when the servers' set changes.
     Given the environment of Arequipa runs with opaque flows
--- a/tests/steps/daemon_steps.py
+++ b/tests/steps/daemon_steps.py
@@ -25,6 +25,7 @@
 LOAD_SECONDS = 9.0
 SETTLE_SECONDS = 3.5
 DRAINED = "reservas-2"
+OPENINGS_PER_SECOND = 50
 FINAL_CODES = {"CONTENT", "SERVICE_UNAVAILABLE", "GATEWAY_TIMEOUT", "BAD_GATEWAY"}
 
 
@@ -123,6 +124,40 @@
     context.started_after = count_started(context.environment)
 
 
+@when("a backend server is killed and flows open for {seconds:d} seconds")
+def when_server_killed(context, seconds):
+    environment = context.environment
+    address = environment.address("reservas-map")
+    context.flows = LoadRun(random_state=14)
+
+    async def open_steadily():
+        async with trio.open_nursery() as watching:
+            for _ in range(seconds * OPENINGS_PER_SECOND // 10):
+                profile = FlowProfile("/map", 10, 1.5)
+                watching.start_soon(context.flows.run_flows, address, profile)
+                await trio.sleep(10 / OPENINGS_PER_SECOND)
+            # Long enough for the last ones to repeat their first packet.
+            await trio.sleep(SETTLE_SECONDS * 2)
+            watching.cancel_scope.cancel()
+
+    environment.kill_server(DRAINED)
+    trio.run(open_steadily)
+
+
+@then("every flow that opened after the kill was answered")
+def then_new_flows_answered(context):
+    flows = context.flows.summary()["flows"]
+    assert flows["answered"] == flows["flows"] > 100, flows
+
+
+@then("the hosts found the killed server unreachable")
+def then_found_unreachable(context):
+    environment = context.environment
+    pages = [environment.read_page(h, "/metrics")[1] for h in environment.live_hosts()]
+    name = b'hornbeamdeal_servers_unreachable_total{reason="",service="reservas"}'
+    assert any(name in page for page in pages)
+
+
 @when("a server drains and a host stops as planned while load is offered")
 def when_drain_and_stop(context):
     def change():
