Keep new flows away from servers that do not answer this host

Change: subpackage `reachability`. A server that left at least 3 opening packets unanswered for 1 s gets no new flows of this host, at most half of a service by weight, or all of the other zones where all of them are silent and the own zone answers. One opening packet tries it after 2 to 30 s with jitter. A repeated opening packet to an excluded server is assigned anew. All evidence is dropped after a pause.

--- a/benchmarks/flow_cluster.py
+++ b/benchmarks/flow_cluster.py
@@ -150,6 +150,11 @@
             self.callers.wait(action.packet)
             return
         self.callers.arrive(host.steering, action.server, action.packet)
+        self.at(LINK_SECONDS, self._answer, host, action.server.server_id)
+
+    def _answer(self, host, server_id):
+        if host.is_running:
+            host.steering.hear_server(server_id)
 
     def _send(self, host, action):
         codec = PeerCodec(
--- a/hornbeamdeal/daemon/_driver.py
+++ b/hornbeamdeal/daemon/_driver.py
@@ -17,6 +17,7 @@
     AnnouncePause,
     Answer,
     AnswerStatus,
+    BackendServer,
     CancelDispatch,
     CancelReceived,
     Clock,
@@ -328,14 +329,20 @@
         message = decoded.ok_value
         if not isinstance(message, wire.ServerMessage):
             return
-        server = self.world.server_at(sender)
+        server = self._hear_server(sender)
         exchange_id = int.from_bytes(message.token, "big")
         server_id = server.server_id if server else ""
         event = ServerAnswered(server_id, exchange_id, message.answer)
         self.feed(event, (self.components.dispatcher,))
 
-    def _pass_to_caller(self, datagram: wire.ProxiedDatagram, sender: Endpoint) -> None:
+    def _hear_server(self, sender: Endpoint) -> BackendServer | None:
         server = self.world.server_at(sender)
+        if server is not None:
+            self.components.steering.hear_server(server.server_id)
+        return server
+
+    def _pass_to_caller(self, datagram: wire.ProxiedDatagram, sender: Endpoint) -> None:
+        server = self._hear_server(sender)
         address = self.world.address_of(datagram.destination)
         if server is None or address is None or server.service != address.service:
             self.metrics.count(Count("dropped", "foreign_server_datagram"))
--- /dev/null
+++ b/hornbeamdeal/reachability/_exclusion.py
@@ -0,0 +1,46 @@
+"""Which unreachable servers get no new flows."""
+
+from collections.abc import Sequence
+
+from hornbeamdeal.kernel import BackendServer
+
+# Evidence may mislead, and the other servers have to carry the excluded share.
+MAXIMUM_SHARE = 0.5
+
+
+def excluded_ids(
+    servers: Sequence[BackendServer], unreachable_ids: Sequence[str], own_zone: str
+) -> frozenset[str]:
+    """Return the servers to leave out of those that take new flows.
+
+    `unreachable_ids` are in the order in which they are left out: at most half of
+    the servers by weight, and none where all are unreachable. Where all servers
+    of other zones are unreachable and one of the own zone is not, the zone is
+    taken to be cut off: then the others are all left out, and the bound holds for
+    the own zone's servers alone. This is safe because one datagram from
+    any of the left-out servers ends it, and the own zone's answers show that this
+    host's own sockets work.
+    """
+    unreachable = set(unreachable_ids)
+    if all(server.server_id in unreachable for server in servers):
+        return frozenset()
+    local = [server for server in servers if server.zone == own_zone]
+    remote = {server.server_id for server in servers if server.zone != own_zone}
+    has_local = any(server.server_id not in unreachable for server in local)
+    if has_local and remote and remote <= unreachable:
+        return frozenset(remote | _bounded(local, unreachable_ids))
+    return frozenset(_bounded(servers, unreachable_ids))
+
+
+def _bounded(
+    servers: Sequence[BackendServer], unreachable_ids: Sequence[str]
+) -> set[str]:
+    weights_by_id = {server.server_id: server.weight for server in servers}
+    left = MAXIMUM_SHARE * sum(weights_by_id.values())
+    excluded = set()
+    for server_id in unreachable_ids:
+        weight = weights_by_id.get(server_id)
+        if weight is not None and weight <= left:
+            excluded.add(server_id)
+            left -= weight
+    return excluded
--- /dev/null
+++ b/hornbeamdeal/reachability/_reachability.py
@@ -0,0 +1,176 @@
+"""Servers that this host cannot reach, for the assignment of new flows."""
+
+from collections.abc import Sequence
+from random import Random
+from typing import Any
+
+from hornbeamdeal.kernel import (
+    BackendServer,
+    Count,
+    LogEvent,
+    PauseDetected,
+    View,
+)
+
+from ._evidence import Evidence
+from ._exclusion import excluded_ids
+
+# One pass visits the servers that owe an answer: by the target size some 2,100
+# in a region at the most.
+CHECK_SECONDS = 0.1
+
+
+class Reachability:
+    """Finds servers that leave opening packets of this host unanswered.
+
+    Only servers that owe an answer have an entry, so that a datagram from any
+    other server costs one lookup. Hosts need not agree: only the owner of an
+    opening packet asks.
+
+    Parameters
+    ----------
+    random_state : int
+        Seed of the jitter of trials.
+    """
+
+    __slots__ = ("random_state", "evidence_by_id_", "excluded_by_service_")
+    __slots__ += (
+        "servers_by_service_",
+        "unreachable_by_service_",
+        "_random",
+        "_own_zone",
+        "_actions",
+    )
+    __slots__ += ("_checked_at",)
+
+    def __init__(self, *, random_state: int = 0):
+        self.random_state = random_state
+        self.evidence_by_id_: dict[str, Evidence] = {}
+        self.unreachable_by_service_: dict[str, dict[str, Evidence]] = {}
+        self.excluded_by_service_: dict[str, frozenset[str]] = {}
+        self.servers_by_service_: dict[str, list[BackendServer]] = {}
+        self._random = Random(random_state)
+        self._own_zone = ""
+        self._actions: list[Any] = []
+        self._checked_at = 0.0
+
+    def update(
+        self, view: View, servers_by_service: dict[str, list[BackendServer]]
+    ) -> None:
+        """Take the servers that take new flows; forget those that moved or left."""
+        self._own_zone = view.own_zone
+        self.servers_by_service_ = servers_by_service
+        for evidence in list(self.evidence_by_id_.values()):
+            self._relist(evidence, view)
+        self.excluded_by_service_.clear()
+        for service in self.unreachable_by_service_:
+            self._exclude(service)
+
+    def handle(self, event: Any, now: float) -> list[Any]:
+        """Forget all evidence after a pause; other events are ignored.
+
+        Answers may have been lost, or wait unread, while the process did not run.
+        """
+        if isinstance(event, PauseDetected):
+            self.evidence_by_id_.clear()
+            self.unreachable_by_service_.clear()
+            self.excluded_by_service_.clear()
+        return []
+
+    def tick(self, now: float) -> list[Any]:
+        """Find servers that have become unreachable."""
+        if now - self._checked_at >= CHECK_SECONDS:
+            self._checked_at = now
+            for evidence in self.evidence_by_id_.values():
+                if not evidence.is_unreachable and evidence.is_silent(now):
+                    self._lose(evidence, now)
+        actions, self._actions = self._actions, []
+        return actions
+
+    def hear(self, server_id: str) -> None:
+        """Take note that a datagram came from a server."""
+        evidence = self.evidence_by_id_.pop(server_id, None)
+        if evidence is not None and evidence.is_unreachable:
+            service = evidence.server.service
+            del self._unreachable(service)[server_id]
+            self._exclude(service)
+            self._report("reachable_again", evidence, "info")
+
+    def note_opening(self, server: BackendServer, now: float) -> None:
+        """Take note that an opening packet goes to a server."""
+        evidence = self.evidence_by_id_.get(server.server_id)
+        if evidence is None:
+            evidence = self.evidence_by_id_[server.server_id] = Evidence(server, now)
+        evidence.openings += 1
+
+    def usable(
+        self, service: str, servers: Sequence[BackendServer]
+    ) -> Sequence[BackendServer]:
+        """Return those of a service's servers that get new flows."""
+        excluded = self.excluded_by_service_.get(service)
+        if not excluded:
+            return servers
+        return [server for server in servers if server.server_id not in excluded]
+
+    def keeps(self, server: BackendServer, key: int, now: float) -> bool:
+        """Tell whether a repeated opening packet stays with its server."""
+        excluded = self.excluded_by_service_.get(server.service)
+        if not excluded or server.server_id not in excluded:
+            return True
+        # The fabric may double a trial's packet while its answer is under way.
+        return self.evidence_by_id_[server.server_id].is_on_trial(key, now)
+
+    def take_trial(self, service: str, key: int, now: float) -> BackendServer | None:
+        """Return the server that this new flow's opening packet tries again."""
+        excluded = self.excluded_by_service_.get(service)
+        if not excluded:
+            return None
+        for server_id, evidence in self._unreachable(service).items():
+            if server_id in excluded and evidence.is_trial_due(now):
+                evidence.start_trial(key, now, self._random)
+                return evidence.server
+        return None
+
+    def _lose(self, evidence: Evidence, now: float) -> None:
+        evidence.mark_unreachable(now, self._random)
+        service = evidence.server.service
+        self._unreachable(service)[evidence.server.server_id] = evidence
+        self._exclude(service)
+        self._report("unreachable", evidence, "warning")
+
+    def _relist(self, evidence: Evidence, view: View) -> None:
+        earlier = evidence.server
+        listed = view.servers_by_id.get(earlier.server_id)
+        if (
+            listed is None
+            or listed.endpoint != earlier.endpoint
+            or listed not in self.servers_by_service_.get(earlier.service, ())
+        ):
+            del self.evidence_by_id_[earlier.server_id]
+            self._unreachable(earlier.service).pop(earlier.server_id, None)
+        else:
+            evidence.server = listed
+
+    def _unreachable(self, service: str) -> dict[str, Evidence]:
+        """Return a service's unreachable servers, the longest unreachable first."""
+        return self.unreachable_by_service_.setdefault(service, {})
+
+    def _exclude(self, service: str) -> None:
+        """Derive the excluded servers of a service."""
+        servers = self.servers_by_service_.get(service, [])
+        unreachable_ids = list(self._unreachable(service))
+        excluded = excluded_ids(servers, unreachable_ids, self._own_zone)
+        if excluded:
+            self.excluded_by_service_[service] = excluded
+        else:
+            self.excluded_by_service_.pop(service, None)
+
+    def _report(self, change: str, evidence: Evidence, level: str) -> None:
+        server = evidence.server
+        fields = {
+            "server": server.server_id,
+            "service": server.service,
+            "unanswered_openings": evidence.openings,
+        }
+        self._actions.append(Count(f"servers_{change}", service=server.service))
+        self._actions.append(LogEvent(f"server_{change}", fields, level))
--- a/hornbeamdeal/steering/_assignment.py
+++ b/hornbeamdeal/steering/_assignment.py
@@ -1,5 +1,6 @@
 """Smooth weighted round robin, as published for nginx 1.3.1 (2012)."""
 
+from collections.abc import Sequence
 from random import Random
 
 from hornbeamdeal.kernel import BackendServer
@@ -18,7 +19,7 @@
         self._random = random
         self._credits_by_id: dict[str, float] = {}
 
-    def pick(self, servers: list[BackendServer]) -> BackendServer | None:
+    def pick(self, servers: Sequence[BackendServer]) -> BackendServer | None:
         """Return the next of the servers, None where there is none."""
         credits_by_id = self._credits_by_id
         if len(credits_by_id) != len(servers):
@@ -38,7 +39,7 @@
             credits_by_id[best.server_id] -= total
         return best
 
-    def _forget_missing(self, servers: list[BackendServer]) -> None:
+    def _forget_missing(self, servers: Sequence[BackendServer]) -> None:
         known = {server.server_id for server in servers}
         for server_id in self._credits_by_id.keys() - known:
             del self._credits_by_id[server_id]
--- a/hornbeamdeal/steering/_base.py
+++ b/hornbeamdeal/steering/_base.py
@@ -21,6 +21,12 @@
     def tick(self, now: float) -> list[Any]:
         """Do what is due at this time."""
 
+    def hear_server(self, server_id: str) -> None:
+        """Take note that a datagram came from a server.
+
+        This is no event, as it happens for each datagram of each server.
+        """
+
     def make_handle(self, server: BackendServer, flow_token: bytes) -> bytes | None:
         """Return the handle for a server's answer, None where none is used."""
 
--- a/hornbeamdeal/steering/_packets.py
+++ b/hornbeamdeal/steering/_packets.py
@@ -43,7 +43,9 @@
         # An owner's record is as old as the last refresh by the other hosts.
         self.owned_seconds: float = more["owned_seconds"]
         self.joining_least = self.joining_until = 0.0
-        self._openings = Openings(state, more["opening_seconds"], more["random"])
+        self._openings = Openings(
+            state, more["opening_seconds"], more["random"], more["reachability"]
+        )
         self._pause = PauseBuffer()
         self._waiting: list[FlowPacket] = []
 
--- a/hornbeamdeal/steering/_stateless.py
+++ b/hornbeamdeal/steering/_stateless.py
@@ -50,6 +50,9 @@
         """Do nothing: no work is deferred."""
         return []
 
+    def hear_server(self, server_id: str) -> None:
+        """Do nothing: the choice does not depend on reachability."""
+
     def make_handle(self, server: BackendServer, flow_token: bytes) -> bytes | None:
         """Return None: no handles are used."""
         return None
--- a/hornbeamdeal/steering/_tracked.py
+++ b/hornbeamdeal/steering/_tracked.py
@@ -15,6 +15,7 @@
     register,
     validate_parameters,
 )
+from hornbeamdeal.reachability import Reachability
 from hornbeamdeal.wire import peer_types
 
 from ._handles import HandleCodec
@@ -77,13 +78,14 @@
     control_bytes_per_second, control_burst_bytes : float
         Budget for sending records.
     random_state : int
-        Seed of the starting points of the rotations.
+        Seed of the starting points of the rotations and of the trials' jitter.
     """
 
     __slots__ = ("handle_keys", "recent_flows", "idle_seconds", "opening_seconds")
     __slots__ += ("settle_seconds", "patience_seconds", "refresh_seconds")
     __slots__ += ("record_seconds", "control_bytes_per_second", "random_state")
     __slots__ += ("control_burst_bytes", "state_", "scan_", "packets_")
+    __slots__ += ("reachability_",)
 
     def __init__(
         self,
@@ -117,10 +119,15 @@
         """Take a new view of servers and hosts."""
         if self.state_ is None:
             self._start(now)
+        sets_before = self.state_.routes.sets_by_service
         hosts_before = self.state_.ownership.future
         if self.state_.update(view, now):
             hosts_changed = self.state_.ownership.future is not hosts_before
             self.scan_.restart(hosts_changed, now)
+        sets_by_service = self.state_.routes.sets_by_service
+        if sets_by_service is not sets_before:
+            servers = {name: s.servers for name, s in sets_by_service.items()}
+            self.reachability_.update(view, servers)
         return self.packets_.release(now)
 
     def handle(self, event: Any, now: float) -> list[Any]:
@@ -132,6 +139,7 @@
         if isinstance(event, PeerReceived):
             return self._hear(event, now)
         if isinstance(event, PauseDetected):
+            self.reachability_.handle(event, now)
             return self.packets_.pause(event.seconds, now)
         if isinstance(event, StopRequested):
             return self.scan_.hand_over_all(now)
@@ -145,9 +153,15 @@
         state.ownership.promote(now)
         state.settle_due(now)
         self.packets_.note_joined(now)
-        actions = self.packets_.release(now) + state.send_due(now)
+        actions = self.reachability_.tick(now) + self.packets_.release(now)
+        actions += state.send_due(now)
         return actions + self.scan_.advance(now) + state.counts()
 
+    def hear_server(self, server_id: str) -> None:
+        """Take note that a datagram came from a server."""
+        if self.state_ is not None:
+            self.reachability_.hear(server_id)
+
     def make_handle(self, server: BackendServer, flow_token: bytes) -> bytes | None:
         """Return the handle for a server's answer."""
         if self.state_ is None:
@@ -188,6 +202,7 @@
             self.opening_seconds,
             record_seconds=self.record_seconds,
         )
+        self.reachability_ = Reachability(random_state=self.random_state)
         self.packets_ = PacketPath(
             self.state_,
             HandleCodec(self.handle_keys),
@@ -195,6 +210,7 @@
             opening_seconds=self.opening_seconds,
             owned_seconds=self.idle_seconds + self.refresh_seconds,
             random=Random(self.random_state),
+            reachability=self.reachability_,
         )
         self.packets_.start_joining(now)
 
