--- a/benchmarks/flow_cluster.py
+++ b/benchmarks/flow_cluster.py
@@ -50,10 +50,15 @@
     backlog: list[FlowPacket] = field(default_factory=list)
 
 
-def make_servers(weights: list[float]) -> dict[str, BackendServer]:
-    """Return servers r0, r1 and so on with these weights."""
+def make_servers(weights: list[float], zones: str = "z") -> dict[str, BackendServer]:
+    """Return servers r0, r1 and so on with these weights.
+
+    The letters of `zones` are their zones in turn; all hosts are in zone z.
+    """
     return {
-        f"r{i}": BackendServer(f"r{i}", SERVICE, Endpoint("10.1.0.1", i), "z", weight)
+        f"r{i}": BackendServer(
+            f"r{i}", SERVICE, Endpoint("10.1.0.1", i), zones[i % len(zones)], weight
+        )
         for i, weight in enumerate(weights)
     }
 
@@ -61,7 +66,9 @@
 class Cluster:
     """Hosts, a fabric that sprays packets, and callers, on a manual clock."""
 
-    def __init__(self, plugin, codec, weights, seed, hosts=7, skew=3.0, **more):
+    def __init__(
+        self, plugin, codec, weights, seed, hosts=7, skew=3.0, zones="z", **more
+    ):
         self.random, self.plugin, self.skew, self.more = (
             Random(seed),
             plugin,
@@ -71,8 +78,10 @@
         self.address = Address("a", SERVICE, ADDRESS, AddressKind.FLOWS, codec)
         self.now, self.order, self.queue = 0.0, count(), []
         self.hosts: dict[str, Host] = {}
-        self.documents = [(1, make_servers(weights))]
+        self.documents = [(1, make_servers(weights, zones))]
         self.left_at: dict[str, float] = {}
+        # They answer nothing, and no document says so.
+        self.dead_servers: set[str] = set()
         self.fabric: list[str] = []
         self.relays = 0
         self.callers = Callers(self, codec, f"10.9.{seed % 256}.1")
@@ -140,10 +149,21 @@
                 packet = replace(action.packet, relayed_by=host.entry.host_id)
                 self.at(LINK_SECONDS, self.receive, action.host_id, packet)
             elif isinstance(action, ForwardPacket):
-                self.callers.arrive(host.steering, action.server, action.packet)
+                self._reach_server(host, action)
             elif hasattr(action, "packet"):
                 self.callers.drop(action.packet)
 
+    def _reach_server(self, host, action):
+        if action.server.server_id in self.dead_servers:
+            self.callers.wait(action.packet)
+            return
+        self.callers.arrive(host.steering, action.server, action.packet)
+        self.at(LINK_SECONDS, self._answer, host, action.server.server_id)
+
+    def _answer(self, host, server_id):
+        if host.is_running:
+            host.steering.hear_server(server_id)
+
     def _send(self, host, action):
         codec = PeerCodec(
             host_id=host.entry.host_id,
