Keep relayed requests in the log until an issuer's death can be noticed

Cause: the relay log dropped a request at its deadline (2 s for bookings), and membership notices a death after about 5 s, 7.5 s at worst. A submission whose issuer acknowledged it and died got no final answer. Ruled out: an answer from the relaying host for every overdue request; it would double the answers of healthy issuers. Change: entries stay 8 s beyond their deadline; a suspect issuer's requests end at their deadline.

--- a/hornbeamdeal/requests/_base.py
+++ b/hornbeamdeal/requests/_base.py
@@ -35,7 +35,8 @@
     RFC 7252 retransmits a confirmable message for 45 s. A refused
     request visits at most six servers, as many as the crest benchmark of
     admission allows within its bounds; with two moves of it refusals are late. The relay grace covers the gossip delay of an issuer
-    that has just started. A kept token takes about 410 bytes and a request in
+    that has just started; the relay detection covers the time in which
+    membership notices a death, 7.5 s at worst in benchmarks.fleet. A kept token takes about 410 bytes and a request in
     progress about 1.4 KB besides its payload, and a logged relay 510 bytes, so
     the bounds add up to about 63 MB when all are reached at once.
     """
@@ -49,6 +50,7 @@
     token_lifetime: float = 60.0
     answer_retention: float = 10.0
     relay_grace: float = 1.0
+    relay_detection: float = 8.0
     maximum_moves: int = 5
     maximum_retries: int = 2
     retry_ratio: float = 0.1
--- a/hornbeamdeal/requests/_dispatcher.py
+++ b/hornbeamdeal/requests/_dispatcher.py
@@ -144,7 +144,11 @@
         self.ledger_ = RunLedger(limits=limits)
         self.router_ = Router()
         self.home_hosts_ = HomeHosts()
-        relay_log = RelayLog(grace=limits.relay_grace, maximum=limits.maximum_relays)
+        relay_log = RelayLog(
+            grace=limits.relay_grace,
+            maximum=limits.maximum_relays,
+            detection=limits.relay_detection,
+        )
         self.relayer_ = Relayer(answers=self.answers_, log=relay_log)
         self.tries_ = TryDriver(
             admission=self.admission,
--- a/hornbeamdeal/requests/_relay.py
+++ b/hornbeamdeal/requests/_relay.py
@@ -4,7 +4,8 @@
 acknowledged by the relaying host, so a caller whose relay was lost
 retransmits it. The log serves one case only: the issuer dies after it
 acknowledged the request. Then the relaying host ends the request as "outcome
-unknown" as soon as its view shows the death.
+unknown" as soon as its view shows the death. The log keeps a request beyond its
+deadline, because membership needs longer than a short deadline to notice a death.
 """
 
 from dataclasses import dataclass, replace
@@ -31,10 +32,15 @@
 
 
 class RelayLog:
-    """Open relays by incarnation of the issuer."""
+    """Open relays by incarnation of the issuer.
+
+    `detection` is the time in seconds after a deadline in which the death of an
+    issuer must still be noticed.
+    """
 
     __slots__ = (
         "count_",
+        "detection",
         "grace",
         "maximum",
         "next_sweep_",
@@ -42,8 +48,9 @@
         "states_by_incarnation_",
     )
 
-    def __init__(self, *, grace: float, maximum: int):
+    def __init__(self, *, grace: float, maximum: int, detection: float):
         self.grace = grace
+        self.detection = detection
         self.maximum = maximum
         self.relays_by_incarnation_: dict[int, dict[CallerKey, Relay]] = {}
         self.states_by_incarnation_: dict[int, HostState] = {}
@@ -105,14 +112,19 @@
         relays = self.relays_by_incarnation_[incarnation]
         is_known = incarnation in self.states_by_incarnation_
         is_gone = self.is_gone(incarnation)
+        state = self.states_by_incarnation_.get(incarnation)
+        is_suspect = state is HostState.SUSPECT
         ended = []
         for key, relay in list(relays.items()):
-            is_given_up = is_gone or (
-                not is_known and now >= relay.started + self.grace
+            is_overdue = is_suspect and now >= relay.deadline
+            is_given_up = (
+                is_gone
+                or is_overdue
+                or (not is_known and now >= relay.started + self.grace)
             )
             if is_given_up:
                 ended.append(relay)
-            if is_given_up or now >= relay.deadline:
+            if is_given_up or now >= relay.deadline + self.detection:
                 del relays[key]
                 self.count_ -= 1
         if not relays:
--- a/tests/requests/dispatch.feature
+++ b/tests/requests/dispatch.feature
@@ -63,6 +63,17 @@
     When host b relays a request to an issuer missing from its view
     Then its caller hears "issuer_gone" after 1 s
 
+  Scenario: an issuer's death is noticed after the deadline of a relayed request
+    Guards against a caller that gets no final answer: the issuer acknowledges,
+    dies, membership notices it later than the deadline of 2 s.
+    When host b relays a request whose issuer is called dead 6 s later
+    Then its caller hears "issuer_gone" from host b
+
+  Scenario: a relayed request ends at its deadline where the issuer is suspect
+    Guards against a wait for certainty that the caller has no use for.
+    When host b relays a request whose issuer is suspect from then on
+    Then its caller hears "issuer_gone" from host b by 2.5 s
+
   Scenario: the host that replaced the issuer answers and tells the relaying host
     Guards against a wait for membership to notice the restart.
     When host a restarts between two relays from host b
--- a/tests/steps/requests_steps.py
+++ b/tests/steps/requests_steps.py
@@ -364,6 +364,41 @@
     assert replies(context.fleet)["r2"].reason == reason
 
 
+def relay_from_b(context):
+    fleet = context.fleet
+    send(fleet, "a", "r1", 0.0)
+    token = replies(fleet)["r1"].run_token
+    send(fleet, "b", "r2", 0.1, run_token=token)
+
+
+@when("host b relays a request whose issuer is called dead 6 s later")
+def when_dead_late(context):
+    relay_from_b(context)
+    fleet = context.fleet
+    for moment in (1.0, 2.5, 4.0):
+        fleet.tick("b", moment)
+    assert "r2" not in replies(fleet), replies(fleet)
+    fleet.states_by_id["a"] = HostState.DEAD
+    fleet.update("b", 6.0)
+
+
+@when("host b relays a request whose issuer is suspect from then on")
+def when_suspect(context):
+    relay_from_b(context)
+    fleet = context.fleet
+    fleet.states_by_id["a"] = HostState.SUSPECT
+    fleet.update("b", 0.5)
+    fleet.tick("b", 1.0)
+    assert "r2" not in replies(fleet), replies(fleet)
+    fleet.tick("b", 2.5)
+
+
+@then('its caller hears "{reason}" from host b')
+@then('its caller hears "{reason}" from host b by 2.5 s')
+def then_hears_from_b(context, reason):
+    assert replies(context.fleet)["r2"].reason == reason
+
+
 @when("host a restarts between two relays from host b")
 def when_restart_between(context):
     fleet = context.fleet
