Bound table exchanges after a partition; spread refutations and versions compactly

Cause: each host that came back caused an exchange of tables of 28 KB, and all asked the few hosts that came back first; a version in force was spread as a record of 100 bytes for each member. Change: a host answers known members once a second; an unanswered host asks another; refutations travel as accusations of state alive; members with the sender's version travel as hashes of 8 bytes.

--- a/benchmarks/fleet_losses.py
+++ b/benchmarks/fleet_losses.py
@@ -88,7 +88,7 @@
     last = None
     busiest = {}
     total = _sent(fleet)
-    while fleet.now - started < HEAL_SECONDS:
+    while fleet.now - started < HEAL_SECONDS or last is None:
         before = _sent(fleet)
         for _ in range(round(RATE_SECONDS / STEP_SECONDS)):
             fleet.run(STEP_SECONDS)
--- a/hornbeamdeal/membership/_accusation_rules.py
+++ b/hornbeamdeal/membership/_accusation_rules.py
@@ -22,8 +22,11 @@
 def absorb_accusation(
     table: MemberTable, claim: EntryHost, accusers: list[int], now: float
 ) -> None:
-    """Take a suspicion or a death that hosts spread, with its accusers."""
+    """Take a suspicion, a death or a refutation that hosts spread."""
     host_id = claim.host_id
+    if claim.state is HostState.ALIVE:
+        table.absorb(claim, now)
+        return
     if host_id == table.own_id:
         table.absorb_own(claim, now)
         return
--- a/hornbeamdeal/membership/_healing.py
+++ b/hornbeamdeal/membership/_healing.py
@@ -1,6 +1,6 @@
 """Joining through seeds, and contact with members that were lost."""
 
-from hornbeamdeal.kernel import Endpoint
+from hornbeamdeal.kernel import Endpoint, PeerReceived
 
 from ._messages import Messenger
 
@@ -14,6 +14,11 @@
 # Hosts that start together know few of each other at first, so a new host
 # exchanges earlier; the interval doubles up to the regular one.
 FIRST_SYNC_SECONDS = 1.0
+# After a partition all hosts exchange tables, and those that came back first
+# are asked by all. 290 records are 28 KB, so a host answers known members this
+# far apart; who got no answer soon asks another host.
+ANSWER_SECONDS = 1.0
+RETRY_SECONDS = 0.5
 # Claims of deaths that are checked with the accused hosts per gossip interval.
 DOUBTS_PER_ROUND = 3
 # After several deaths within a few seconds hosts push them to random peers, so
@@ -33,8 +38,10 @@
         "messenger",
         "seeds",
         "table",
+        "_answer_due",
         "_heal_due",
         "_push_due",
+        "_revived_due",
         "_sync_due",
         "_sync_interval",
     )
@@ -46,6 +53,8 @@
         self.joined = False
         self._heal_due = now
         self._push_due = now
+        self._revived_due = now
+        self._answer_due = now
         self._sync_interval = FIRST_SYNC_SECONDS
         self._sync_due = now + self._sync_interval
 
@@ -59,7 +68,8 @@
             jitter = self.table.random.uniform(0.8, 1.2)
             self._push_due = now + PUSH_INTERVAL_SECONDS * jitter
             self._push_deaths(now)
-        if self.table.revived:
+        if self.table.revived and now >= self._revived_due:
+            self._revived_due = now + RETRY_SECONDS
             self._sync_with_revived()
         if now >= self._sync_due:
             self.sync(now, 1)
@@ -72,6 +82,21 @@
         for peer in self.table.sample_peers(count):
             self.messenger.join(peer.endpoint)
 
+    def note_answer(self, now: float) -> None:
+        """Take note of a received table; the next exchange can wait."""
+        self.joined = True
+        self.table.revived.clear()
+        self._revived_due = now + ANSWER_SECONDS
+
+    def answer(self, event: PeerReceived, now: float) -> None:
+        """Send the members known: to new hosts at once, to others at a bounded rate."""
+        known = self.table.members_by_id.get(event.host_id)
+        if known is not None and known.incarnation >= event.incarnation:
+            if now < self._answer_due:
+                return
+            self._answer_due = now + ANSWER_SECONDS
+        self.messenger.answer_join(event.endpoint)
+
     def check_doubts(self) -> list[str]:
         """Tell accused members of the claims against them; return whom."""
         doubts = self.table.doubts_by_id
@@ -108,7 +133,6 @@
     def _sync_with_revived(self) -> None:
         """Ask one host that came back for what its side of the partition knows."""
         revived = sorted(self.table.revived)
-        self.table.revived.clear()
         member = self.table.members_by_id.get(self.table.random.choice(revived))
         if member is not None:
             self.messenger.join(member.endpoint)
--- a/hornbeamdeal/membership/_membership.py
+++ b/hornbeamdeal/membership/_membership.py
@@ -212,10 +212,10 @@
         elif isinstance(message, peer_types.PingRequest):
             self._prober.probe_for(event.host_id, event.endpoint, message, now)
         elif isinstance(message, peer_types.JoinRequest):
+            self._healer.answer(event, now)
             self._messenger.absorb([message.member], event.endpoint, now)
-            self._messenger.answer_join(event.endpoint)
         elif isinstance(message, peer_types.JoinReply):
-            self._healer.joined = True
+            self._healer.note_answer(now)
             self._messenger.absorb(message.members, event.endpoint, now)
 
     def _urge_suspicion(self, now: float) -> None:
--- a/hornbeamdeal/membership/_messages.py
+++ b/hornbeamdeal/membership/_messages.py
@@ -3,21 +3,25 @@
 import math
 from dataclasses import replace
 
-from hornbeamdeal.kernel import Endpoint, EntryHost, SendPeer
+from hornbeamdeal.kernel import Endpoint, EntryHost, HostState, SendPeer
 from hornbeamdeal.wire import peer_types
 
 from ._accusation_rules import absorb_accusation
 from ._records import WIRE_STATES, from_wire, to_wire
 from ._table import ACCUSED_STATES, MemberTable
+from ._versions import holders_from_wire, holders_to_wire
 
 # Eight records of about 100 bytes and the envelope stay under 1,200 bytes; so
 # do two records and the accusations.
 MAXIMUM_UPDATES = 8
 MAXIMUM_ACCUSATIONS = 18
 ACCUSATIONS_PER_UPDATE = 3
+HOLDERS_PER_UPDATE = 8
 # A list of more records goes over TCP.
 MAXIMUM_DATAGRAM_RECORDS = 9
-ACCUSED_WIRE_STATES = [WIRE_STATES.index(state) for state in ACCUSED_STATES]
+# A refutation is spread like the accusation, with state alive.
+SPREAD_STATES = (HostState.ALIVE, *ACCUSED_STATES)
+SPREAD_WIRE_STATES = [WIRE_STATES.index(state) for state in SPREAD_STATES]
 UPDATE_MESSAGES = (peer_types.Ping, peer_types.PingReply, peer_types.PingRequest)
 # Nonce of a message that only carries updates and answers no probe.
 GOSSIP_NONCE = 0
@@ -99,6 +103,9 @@
             if claim is not None:
                 accusers = accusation.accusers or []
                 absorb_accusation(self.table, claim, accusers, now)
+        holders = getattr(message, "version_holders", None)
+        for claim in holders_from_wire(holders, self.table.members_by_id):
+            self.table.absorb_version(claim)
         self.absorb(message.updates, sender, now)
 
     def _correct(self, sender: Endpoint) -> None:
@@ -118,7 +125,7 @@
             return None
         if accusation.incarnation is None or accusation.incarnation > known.incarnation:
             return None
-        if accusation.state not in ACCUSED_WIRE_STATES:
+        if accusation.state not in SPREAD_WIRE_STATES:
             return None
         return replace(
             known,
@@ -127,11 +134,13 @@
             state=WIRE_STATES[accusation.state],
         )
 
-    def _updates_for(self, host_id: str, claim: EntryHost | None) -> tuple[list, list]:
-        """Return the own record, the receiver's if accused, others; accusations."""
-        table = self.table
-        members = table.members_by_id
-        chosen = [table.own]
+    def _updates_for(self, host_id: str, claim: EntryHost | None) -> tuple:
+        """Return records, accusations and holders of the version in force.
+
+        The records are the own one, the receiver's if it is accused, and others.
+        """
+        members = self.table.members_by_id
+        chosen = [self.table.own]
         accused = claim or members.get(host_id)
         if accused and accused.state in ACCUSED_STATES:
             chosen.append(accused)
@@ -139,14 +148,29 @@
         room = MAXIMUM_UPDATES - len(chosen)
         room -= math.ceil(len(accusations) / ACCUSATIONS_PER_UPDATE)
         sent = {host.host_id for host in chosen}
-        for other_id in table.updates.take(max(room, 0), len(members)):
+        for other_id in self.table.updates.take(max(room, 0), len(members)):
             if other_id not in sent and other_id in members:
                 chosen.append(members[other_id])
-        return [to_wire(host) for host in chosen], accusations
+                room -= 1
+        others, holders = self._versions_for(room)
+        records = [to_wire(host) for host in chosen + others]
+        return records, accusations, holders
+
+    def _versions_for(self, room: int) -> tuple[list[EntryHost], object]:
+        """Return records with other versions than the own, and who has the own."""
+        members = self.table.members_by_id
+        version = self.table.own.version
+        count = max(room, 0) * HOLDERS_PER_UPDATE
+        taken = self.table.updates.take_routine(count, len(members))
+        known = [members[i] for i in taken if i in members]
+        others = [member for member in known if member.version != version]
+        room -= math.ceil((len(known) - len(others)) / HOLDERS_PER_UPDATE)
+        same = [member for member in known if member.version == version]
+        return others[: max(room, 0)], holders_to_wire(version, same)
 
     def _accusations_for(self, host_id: str) -> list[peer_types.Accusation]:
         members = self.table.members_by_id
         book = self.table.accusations
         taken = book.queue.take(MAXIMUM_ACCUSATIONS, len(members))
-        accused = [members[i] for i in taken if i != host_id and i in members]
-        return [book.to_wire(m) for m in accused if m.state in ACCUSED_STATES]
+        named = [members[i] for i in taken if i != host_id and i in members]
+        return [book.to_wire(m) for m in named if m.state in SPREAD_STATES]
--- a/hornbeamdeal/membership/_records.py
+++ b/hornbeamdeal/membership/_records.py
@@ -53,6 +53,13 @@
     return (version.number, version.digest) if version else (0, b"")
 
 
+def is_refutation(known: EntryHost, newer: EntryHost) -> bool:
+    """Tell whether a process only raised its sequence to refute a claim."""
+    is_same_process = newer.incarnation == known.incarnation
+    is_raised = newer.sequence > known.sequence
+    return is_same_process and is_raised and newer.state is HostState.ALIVE
+
+
 def to_wire(host: EntryHost) -> peer_types.MemberRecord:
     """Return the wire form of a record."""
     number, digest = _version_key(host.version)
--- a/hornbeamdeal/membership/_table.py
+++ b/hornbeamdeal/membership/_table.py
@@ -14,7 +14,7 @@
 )
 
 from ._accusations import Accusations
-from ._records import claim_rank, merge_records
+from ._records import claim_rank, is_refutation, merge_records
 from ._updates import UpdateQueue
 
 REACHABLE_STATES = (HostState.ALIVE, HostState.SUSPECT, HostState.LEAVING)
@@ -131,6 +131,13 @@
         if claim.state is HostState.SUSPECT and merged.state is HostState.ALIVE:
             self.corrections.append(claim.host_id)
 
+    def absorb_version(self, claim: EntryHost) -> None:
+        """Take the version of a member whose record is otherwise known."""
+        known = self.members_by_id[claim.host_id]
+        merged = merge_records(known, claim)
+        if claim.host_id != self.own_id and merged.version != known.version:
+            self._store(merged, urgent=False)
+
     def declare_dead(self, host_id: str, now: float) -> None:
         """Declare a member dead whose suspicion was not refuted."""
         self.outbox.append(Count("membership_deaths", "suspicion_expired"))
@@ -227,5 +234,8 @@
         else:
             self.changed = True
             self._peer_ids = None
-        if member.state not in ACCUSED_STATES:
+        if known is not None and is_refutation(known, member):
+            self.updates.discard(member.host_id)
+            self.accusations.spread(member.host_id)
+        elif member.state not in ACCUSED_STATES:
             self.updates.put(member.host_id, urgent)
--- a/hornbeamdeal/membership/_updates.py
+++ b/hornbeamdeal/membership/_updates.py
@@ -36,11 +36,17 @@
         self._routine.discard(host_id)
 
     def take(self, count: int, members: int) -> list[str]:
-        """Return up to `count` hosts, those least often sent first."""
-        limit = TRANSMISSIONS_PER_DIGIT * math.ceil(math.log10(members + 1))
-        taken = self._urgent.take(count, limit)
-        routine_limit = min(limit, ROUTINE_TRANSMISSIONS)
-        return taken + self._routine.take(count - len(taken), routine_limit)
+        """Return up to `count` urgent hosts, those least often sent first."""
+        return self._urgent.take(count, _transmissions(members))
+
+    def take_routine(self, count: int, members: int) -> list[str]:
+        """Return up to `count` hosts whose version alone changed."""
+        limit = min(_transmissions(members), ROUTINE_TRANSMISSIONS)
+        return self._routine.take(count, limit)
+
+
+def _transmissions(members: int) -> int:
+    return TRANSMISSIONS_PER_DIGIT * math.ceil(math.log10(members + 1))
 
 
 class _Lane:
--- a/hornbeamdeal/wire/_generated/peer/ttypes.py
+++ b/hornbeamdeal/wire/_generated/peer/ttypes.py
@@ -304,12 +304,113 @@
         return not (self == other)
 
 
+class VersionHolders(object):
+    """
+    Attributes:
+     - number
+     - digest
+     - holders
+
+    """
+
+    __slots__ = (
+        'number',
+        'digest',
+        'holders',
+    )
+
+
+    def __init__(self, number=None, digest=None, holders=None,):
+        self.number = number
+        self.digest = digest
+        self.holders = holders
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.digest = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.holders = []
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = iprot.readI64()
+                        self.holders.append(_elem12)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('VersionHolders')
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 1)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.STRING, 2)
+            oprot.writeBinary(self.digest)
+            oprot.writeFieldEnd()
+        if self.holders is not None:
+            oprot.writeFieldBegin('holders', TType.LIST, 3)
+            oprot.writeListBegin(TType.I64, len(self.holders))
+            for iter13 in self.holders:
+                oprot.writeI64(iter13)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Ping(object):
     """
     Attributes:
      - nonce
      - updates
      - accusations
+     - version_holders
 
     """
 
@@ -317,13 +418,15 @@
         'nonce',
         'updates',
         'accusations',
+        'version_holders',
     )
 
 
-    def __init__(self, nonce=None, updates=None, accusations=None,):
+    def __init__(self, nonce=None, updates=None, accusations=None, version_holders=None,):
         self.nonce = nonce
         self.updates = updates
         self.accusations = accusations
+        self.version_holders = version_holders
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -342,25 +445,31 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.updates = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = MemberRecord()
-                        _elem12.read(iprot)
-                        self.updates.append(_elem12)
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = MemberRecord()
+                        _elem19.read(iprot)
+                        self.updates.append(_elem19)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.accusations = []
-                    (_etype16, _size13) = iprot.readListBegin()
-                    for _i17 in range(_size13):
-                        _elem18 = Accusation()
-                        _elem18.read(iprot)
-                        self.accusations.append(_elem18)
+                    (_etype23, _size20) = iprot.readListBegin()
+                    for _i24 in range(_size20):
+                        _elem25 = Accusation()
+                        _elem25.read(iprot)
+                        self.accusations.append(_elem25)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRUCT:
+                    self.version_holders = VersionHolders()
+                    self.version_holders.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -378,17 +487,21 @@
         if self.updates is not None:
             oprot.writeFieldBegin('updates', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.updates))
-            for iter19 in self.updates:
-                iter19.write(oprot)
+            for iter26 in self.updates:
+                iter26.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.accusations is not None:
             oprot.writeFieldBegin('accusations', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.accusations))
-            for iter20 in self.accusations:
-                iter20.write(oprot)
+            for iter27 in self.accusations:
+                iter27.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.version_holders is not None:
+            oprot.writeFieldBegin('version_holders', TType.STRUCT, 4)
+            self.version_holders.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -420,6 +533,7 @@
      - nonce
      - updates
      - accusations
+     - version_holders
 
     """
 
@@ -427,13 +541,15 @@
         'nonce',
         'updates',
         'accusations',
+        'version_holders',
     )
 
 
-    def __init__(self, nonce=None, updates=None, accusations=None,):
+    def __init__(self, nonce=None, updates=None, accusations=None, version_holders=None,):
         self.nonce = nonce
         self.updates = updates
         self.accusations = accusations
+        self.version_holders = version_holders
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -452,25 +568,31 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.updates = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = MemberRecord()
-                        _elem26.read(iprot)
-                        self.updates.append(_elem26)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = MemberRecord()
+                        _elem33.read(iprot)
+                        self.updates.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.accusations = []
-                    (_etype30, _size27) = iprot.readListBegin()
-                    for _i31 in range(_size27):
-                        _elem32 = Accusation()
-                        _elem32.read(iprot)
-                        self.accusations.append(_elem32)
+                    (_etype37, _size34) = iprot.readListBegin()
+                    for _i38 in range(_size34):
+                        _elem39 = Accusation()
+                        _elem39.read(iprot)
+                        self.accusations.append(_elem39)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRUCT:
+                    self.version_holders = VersionHolders()
+                    self.version_holders.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -488,17 +610,21 @@
         if self.updates is not None:
             oprot.writeFieldBegin('updates', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.updates))
-            for iter33 in self.updates:
-                iter33.write(oprot)
+            for iter40 in self.updates:
+                iter40.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.accusations is not None:
             oprot.writeFieldBegin('accusations', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.accusations))
-            for iter34 in self.accusations:
-                iter34.write(oprot)
+            for iter41 in self.accusations:
+                iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.version_holders is not None:
+            oprot.writeFieldBegin('version_holders', TType.STRUCT, 4)
+            self.version_holders.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -568,11 +694,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.updates = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = MemberRecord()
-                        _elem40.read(iprot)
-                        self.updates.append(_elem40)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = MemberRecord()
+                        _elem47.read(iprot)
+                        self.updates.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -597,8 +723,8 @@
         if self.updates is not None:
             oprot.writeFieldBegin('updates', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.updates))
-            for iter41 in self.updates:
-                iter41.write(oprot)
+            for iter48 in self.updates:
+                iter48.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -722,11 +848,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = MemberRecord()
-                        _elem47.read(iprot)
-                        self.members.append(_elem47)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = MemberRecord()
+                        _elem54.read(iprot)
+                        self.members.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -743,8 +869,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter48 in self.members:
-                iter48.write(oprot)
+            for iter55 in self.members:
+                iter55.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1007,10 +1133,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.segment_digests = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = iprot.readBinary()
-                        self.segment_digests.append(_elem54)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = iprot.readBinary()
+                        self.segment_digests.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1039,8 +1165,8 @@
         if self.segment_digests is not None:
             oprot.writeFieldBegin('segment_digests', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.segment_digests))
-            for iter55 in self.segment_digests:
-                oprot.writeBinary(iter55)
+            for iter62 in self.segment_digests:
+                oprot.writeBinary(iter62)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1095,10 +1221,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.digests = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = iprot.readBinary()
-                        self.digests.append(_elem61)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = iprot.readBinary()
+                        self.digests.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1115,8 +1241,8 @@
         if self.digests is not None:
             oprot.writeFieldBegin('digests', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.digests))
-            for iter62 in self.digests:
-                oprot.writeBinary(iter62)
+            for iter69 in self.digests:
+                oprot.writeBinary(iter69)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1251,11 +1377,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.segments = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = Segment()
-                        _elem68.read(iprot)
-                        self.segments.append(_elem68)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = Segment()
+                        _elem75.read(iprot)
+                        self.segments.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1272,8 +1398,8 @@
         if self.segments is not None:
             oprot.writeFieldBegin('segments', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.segments))
-            for iter69 in self.segments:
-                iter69.write(oprot)
+            for iter76 in self.segments:
+                iter76.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1427,11 +1553,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.records = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = FlowRecord()
-                        _elem75.read(iprot)
-                        self.records.append(_elem75)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = FlowRecord()
+                        _elem82.read(iprot)
+                        self.records.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1461,8 +1587,8 @@
         if self.records is not None:
             oprot.writeFieldBegin('records', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.records))
-            for iter76 in self.records:
-                iter76.write(oprot)
+            for iter83 in self.records:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.complete is not None:
@@ -2194,12 +2320,20 @@
     (4, TType.I32, 'state', None, None, ),  # 4
     (5, TType.LIST, 'accusers', (TType.I32, None, False), None, ),  # 5
 )
+all_structs.append(VersionHolders)
+VersionHolders.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'number', None, None, ),  # 1
+    (2, TType.STRING, 'digest', 'BINARY', None, ),  # 2
+    (3, TType.LIST, 'holders', (TType.I64, None, False), None, ),  # 3
+)
 all_structs.append(Ping)
 Ping.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'nonce', None, None, ),  # 1
     (2, TType.LIST, 'updates', (TType.STRUCT, [MemberRecord, None], False), None, ),  # 2
     (3, TType.LIST, 'accusations', (TType.STRUCT, [Accusation, None], False), None, ),  # 3
+    (4, TType.STRUCT, 'version_holders', [VersionHolders, None], None, ),  # 4
 )
 all_structs.append(PingReply)
 PingReply.thrift_spec = (
@@ -2207,6 +2341,7 @@
     (1, TType.I64, 'nonce', None, None, ),  # 1
     (2, TType.LIST, 'updates', (TType.STRUCT, [MemberRecord, None], False), None, ),  # 2
     (3, TType.LIST, 'accusations', (TType.STRUCT, [Accusation, None], False), None, ),  # 3
+    (4, TType.STRUCT, 'version_holders', [VersionHolders, None], None, ),  # 4
 )
 all_structs.append(PingRequest)
 PingRequest.thrift_spec = (
--- a/hornbeamdeal/wire/peer.thrift
+++ b/hornbeamdeal/wire/peer.thrift
@@ -13,25 +13,34 @@
   9: binary version_digest
 }
 
-// A suspicion or death of a member whose record the receiver has.
+// A suspicion, death or refutation of a member whose record the receiver has.
 struct Accusation {
   1: string host_id
   2: i64 incarnation
   3: i64 sequence
-  4: i32 state          // 1 suspect, 3 dead
+  4: i32 state          // 0 alive, 1 suspect, 3 dead
   5: list<i32> accusers // hashes of hosts whose own probes failed
 }
 
+// Members that have one version in force, by the hash of each process.
+struct VersionHolders {
+  1: i64 number
+  2: binary digest
+  3: list<i64> holders
+}
+
 struct Ping {
   1: i64 nonce
   2: list<MemberRecord> updates
   3: list<Accusation> accusations
+  4: VersionHolders version_holders
 }
 
 struct PingReply {
   1: i64 nonce
   2: list<MemberRecord> updates
   3: list<Accusation> accusations
+  4: VersionHolders version_holders
 }
 
 // Asks a peer to probe a third host.
