Spread the first reads of the platform over 2.5 s

Cause: after a restart of all 2,000 hosts each read two keys within 0.5 s, which is 8,000 calls a second. Change: the first reads are spread over 2.5 s; a host whose peer has a version within its first 0.3 s is a single new one and reads within 0.5 s as before. Calculated: 2,000 hosts x 2 keys / 2.5 s = 1,600 calls a second.

--- a/hornbeamdeal/dissemination/_peer_messages.py
+++ b/hornbeamdeal/dissemination/_peer_messages.py
@@ -44,7 +44,7 @@
     def _take_offer(
         self, topic: Topic, version: Version, endpoint: Endpoint, now: float
     ) -> None:
-        self.progress.readiness_by_topic[topic.name].note_peer(version)
+        self.progress.note_peer(topic, version, now)
         candidate = topic.consider(version, now)
         if candidate is not None:
             self.progress.fetcher.add_source(candidate, endpoint)
@@ -56,7 +56,7 @@
         self, topic: Topic, message: Any, endpoint: Endpoint, now: float
     ) -> None:
         version = _version_of(message)
-        self.progress.readiness_by_topic[topic.name].note_peer(version)
+        self.progress.note_peer(topic, version, now)
         digests = tuple(message.segment_digests or ())
         if not 0 < len(digests) <= MAXIMUM_SEGMENTS:
             self.progress.outbox.append(Count("dissemination_bad_manifests", "peer"))
--- a/hornbeamdeal/dissemination/_platform.py
+++ b/hornbeamdeal/dissemination/_platform.py
@@ -14,8 +14,13 @@
 LONGEST_RETRY_SECONDS = 10.0
 # A stale platform may answer a watch at once with an old revision.
 UNCHANGED_DELAY_SECONDS = 1.0
-# New hosts after a mass replacement read the platform at different moments.
-START_SPREAD_SECONDS = 0.5
+# After a restart of all 2,000 hosts their first reads of two keys stay under
+# 2,000 a second.
+START_SPREAD_SECONDS = 2.5
+# A peer that has a version so soon shows that the region did not restart as a
+# whole, so a single new host need not wait.
+EARLY_VERSION_SECONDS = 0.3
+SINGLE_SPREAD_SECONDS = 0.5
 # 36 readers at this rate stay under the platform's 2,000 reads a second.
 SEGMENT_READS_PER_SECOND = 30.0
 OUTSTANDING_SEGMENT_READS = 8
@@ -35,10 +40,18 @@
 class PlatformReader:
     """Decides when a key of the platform is read or watched."""
 
-    __slots__ = ("random", "watches_by_key", "_due_by_segment", "_tokens", "_refilled")
+    __slots__ = (
+        "random",
+        "started",
+        "watches_by_key",
+        "_due_by_segment",
+        "_refilled",
+        "_tokens",
+    )
 
     def __init__(self, generator: random.Random, now: float):
         self.random = generator
+        self.started = now
         self.watches_by_key = {
             key: KeyWatch(now + generator.uniform(0, START_SPREAD_SECONDS))
             for key in (MANIFEST_KEY, HOSTS_KEY)
@@ -60,6 +73,13 @@
             calls.append(ReadPlatform(key, watch.revision if may_watch else None))
         return calls
 
+    def note_peer_version(self, key: str, now: float) -> None:
+        """Read a key soon if a peer had a version of it at the very start."""
+        watch = self.watches_by_key[key]
+        if watch.called_at is None and now - self.started < EARLY_VERSION_SECONDS:
+            soon = now + self.random.uniform(0, SINGLE_SPREAD_SECONDS)
+            watch.due = min(watch.due, soon)
+
     def take_answer(self, event: PlatformRead, now: float) -> bool:
         """Plan the next call; return False where the answer is an error."""
         watch = self.watches_by_key[event.key]
--- a/hornbeamdeal/dissemination/_progress.py
+++ b/hornbeamdeal/dissemination/_progress.py
@@ -3,17 +3,23 @@
 import random
 from typing import Any
 
-from hornbeamdeal.kernel import Count, Endpoint, SendPeer
+from hornbeamdeal.kernel import Count, Endpoint, SendPeer, Version
 
 from ._fetcher import Fetcher
 from ._peers import PeerSet
-from ._platform import MANIFEST_KEY, SEGMENT_READ_TIMEOUT_SECONDS, PlatformReader
+from ._platform import (
+    HOSTS_KEY,
+    MANIFEST_KEY,
+    SEGMENT_READ_TIMEOUT_SECONDS,
+    PlatformReader,
+)
 from ._readiness import TopicReadiness
 from ._server import offer
 from ._topic import DOCUMENT, HOSTS, Candidate, Topic
 
 PUSH_FANOUT = 3
 QUERY_PEERS = 3
+KEY_BY_TOPIC = {DOCUMENT: MANIFEST_KEY, HOSTS: HOSTS_KEY}
 # A host that peers cannot supply reads segments itself after this time.
 PLATFORM_FALLBACK_SECONDS = 1.0
 
@@ -56,6 +62,12 @@
         if not any(wanted):
             self.outbox.append(Count("dissemination_unwanted_segments"))
 
+    def note_peer(self, topic: Topic, version: Version, now: float) -> None:
+        """Take the version that a peer has of a topic."""
+        self.readiness_by_topic[topic.name].note_peer(version)
+        if version.number:
+            self.platform.note_peer_version(KEY_BY_TOPIC[topic.name], now)
+
     def offer_all(self, endpoint: Endpoint) -> None:
         """Offer all that is in force to a peer."""
         for topic in self.topics_by_name.values():
