Name a shared digest once in a table; keep hosts that are no readers off segments

Cause: the digest of the version in force is a third of a record's bytes in a table; the busiest host sent 26.5 to 29 KB/s while a zone was lost or healed.

--- a/hornbeamdeal/dissemination/_platform.py
+++ b/hornbeamdeal/dissemination/_platform.py
@@ -57,7 +57,7 @@
             for key in (MANIFEST_KEY, HOSTS_KEY)
         }
         self._due_by_segment: dict[bytes, float] = {}
-        self._tokens = SEGMENT_READS_PER_SECOND
+        self._tokens = float(OUTSTANDING_SEGMENT_READS)
         self._refilled = now
 
     def due_calls(
--- a/hornbeamdeal/dissemination/_progress.py
+++ b/hornbeamdeal/dissemination/_progress.py
@@ -90,7 +90,9 @@
 
     def _read_segments(self, topic: Topic, candidate: Candidate, now: float) -> None:
         stalled = now - candidate.progress_at >= PLATFORM_FALLBACK_SECONDS
-        if not candidate.use_platform and not stalled:
+        # A host that knows few peers yet elects itself, so this can change.
+        is_reader = candidate.use_platform and self.peers.is_reader
+        if not is_reader and not stalled:
             return
         pending = self.fetcher.pending(candidate, now)
         missing = [d for d in topic.missing() if d not in pending]
--- a/hornbeamdeal/membership/_membership.py
+++ b/hornbeamdeal/membership/_membership.py
@@ -216,7 +216,7 @@
             self._messenger.absorb([message.member], event.endpoint, now)
         elif isinstance(message, peer_types.JoinReply):
             self._healer.note_answer(now)
-            self._messenger.absorb(message.members, event.endpoint, now)
+            self._messenger.absorb_table(message, event.endpoint, now)
 
     def _urge_suspicion(self, now: float) -> None:
         """Spread a suspicion at once; in a burst the regular gossip suffices."""
--- a/hornbeamdeal/membership/_messages.py
+++ b/hornbeamdeal/membership/_messages.py
@@ -7,7 +7,7 @@
 from hornbeamdeal.wire import peer_types
 
 from ._accusation_rules import absorb_accusation
-from ._records import WIRE_STATES, from_wire, to_wire
+from ._records import WIRE_STATES, from_wire, omit_digest, restore_digest, to_wire
 from ._table import ACCUSED_STATES, MemberTable
 from ._versions import holders_from_wire, holders_to_wire
 
@@ -80,8 +80,10 @@
     def answer_join(self, endpoint: Endpoint) -> None:
         """Send all records, the dead ones too, so that the dead can refute."""
         records = [to_wire(m) for m in self.table.members_by_id.values()]
+        shared = to_wire(self.table.own).version_digest
+        omit_digest(records, shared)
         is_bulk = len(records) > MAXIMUM_DATAGRAM_RECORDS
-        self._send(endpoint, peer_types.JoinReply(records), is_bulk)
+        self._send(endpoint, peer_types.JoinReply(records, shared), is_bulk)
 
     def absorb(
         self,
@@ -96,6 +98,12 @@
                 self.table.absorb(claim, now)
         self._correct(sender)
 
+    def absorb_table(self, message: object, sender: Endpoint, now: float) -> None:
+        """Take all records that a host knows."""
+        records = message.members or []
+        restore_digest(records, message.version_digest)
+        self.absorb(records, sender, now)
+
     def absorb_updates(self, message: object, sender: Endpoint, now: float) -> None:
         """Take the records and the accusations of a probe or an answer."""
         for accusation in getattr(message, "accusations", None) or ():
--- a/hornbeamdeal/membership/_prober.py
+++ b/hornbeamdeal/membership/_prober.py
@@ -25,7 +25,7 @@
 BURST_REST_SECONDS = 16.0
 # Hosts of the region that probe a suspect at once when they hear of it, on
 # average, so that confirmations do not wait for regular probes.
-CONFIRMING_PROBES = 6
+CONFIRMING_PROBES = 4
 
 
 @dataclass(slots=True)
--- a/hornbeamdeal/membership/_records.py
+++ b/hornbeamdeal/membership/_records.py
@@ -76,6 +76,22 @@
     )
 
 
+def omit_digest(records: list[peer_types.MemberRecord], digest: bytes) -> None:
+    """Leave a digest out that a message names once for most of its records."""
+    for record in records:
+        if record.version_digest == digest:
+            record.version_digest = None
+
+
+def restore_digest(
+    records: list[peer_types.MemberRecord], digest: bytes | None
+) -> None:
+    """Put the digest back that the message names once."""
+    for record in records:
+        if record.version_digest is None:
+            record.version_digest = digest
+
+
 def from_wire(record: peer_types.MemberRecord) -> EntryHost | None:
     """Return the record of a wire form, None where a field is missing or wrong."""
     required = (record.host_id, record.incarnation, record.ip, record.port)
--- a/hornbeamdeal/wire/_generated/peer/ttypes.py
+++ b/hornbeamdeal/wire/_generated/peer/ttypes.py
@@ -825,16 +825,19 @@
     """
     Attributes:
      - members
+     - version_digest
 
     """
 
     __slots__ = (
         'members',
+        'version_digest',
     )
 
 
-    def __init__(self, members=None,):
+    def __init__(self, members=None, version_digest=None,):
         self.members = members
+        self.version_digest = version_digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -856,6 +859,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.version_digest = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -873,6 +881,10 @@
                 iter55.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.version_digest is not None:
+            oprot.writeFieldBegin('version_digest', TType.STRING, 2)
+            oprot.writeBinary(self.version_digest)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2359,6 +2371,7 @@
 JoinReply.thrift_spec = (
     None,  # 0
     (1, TType.LIST, 'members', (TType.STRUCT, [MemberRecord, None], False), None, ),  # 1
+    (2, TType.STRING, 'version_digest', 'BINARY', None, ),  # 2
 )
 all_structs.append(VersionOffer)
 VersionOffer.thrift_spec = (
--- a/hornbeamdeal/wire/peer.thrift
+++ b/hornbeamdeal/wire/peer.thrift
@@ -57,6 +57,7 @@
 
 struct JoinReply {
   1: list<MemberRecord> members
+  2: binary version_digest // of records that have a version but no digest
 }
 
 // Greatest version that the sender knows of a topic ("document" or "hosts").
