--- a/hornbeamdeal/capacity/_entry_host_state.py
+++ b/hornbeamdeal/capacity/_entry_host_state.py
@@ -10,6 +10,7 @@
 _CHANGES = "at(change_bytes, region_hosts) * changes"
 _LISTS = "at(list_bytes, region_hosts) * host_lists"
 _RELAYS = "host_new_flows * at(relayed_packet_bytes, opening_payload)"
+_REQUESTS = "host_requests * relayed_request_bytes"
 _STARTS = "at(replace_bytes, 1 / region_hosts) * region_starts"
 
 MEMORY = (
@@ -131,4 +132,20 @@
         "sum of the lines above",
         TOTAL_REMEDY,
     ),
+    LineSpec(
+        "relayed requests, data of callers",
+        "B/s",
+        _REQUESTS,
+        "control_bytes",
+        "one relay to a home host of the service; not counted as control",
+    ),
+    LineSpec(
+        "control bytes with relayed requests",
+        "B/s",
+        sum_of(_GOSSIP, _CHANGES, _LISTS, _RELAYS, _STARTS, _REQUESTS),
+        "control_bytes",
+        "were the callers' data counted as control",
+        "let the fabric send a service's packets to its home hosts, so that no "
+        "relay is needed",
+    ),
 )
--- a/hornbeamdeal/capacity/_target.py
+++ b/hornbeamdeal/capacity/_target.py
@@ -53,7 +53,7 @@
     watched_keys: float = 2
     peak_changes: float = 0.5
     peak_seconds: float = 60
-    ticks: float = 50
+    ticks: float = 20
     rack_hosts: float = 40
     idle_seconds: float = 120
     opening_payload: float = 30
@@ -66,7 +66,8 @@
     region_partitions_a_year: float = 6
     host_list_changes_a_day: float = 1000
     readers_a_zone: float = 2
-    start_spread: float = 0.5
+    start_spread: float = 2.5
+    relayed_request_bytes: float = 150
     core_budget: float = 0.7
 
 
@@ -85,7 +86,7 @@
     "watched_keys": "document manifest and host list",
     "peak_changes": "peak rate of changes a second, 11 times the mean",
     "peak_seconds": "duration of such a peak",
-    "ticks": "ticks a second, `daemon._driver.TICK_SECONDS` of 0.02",
+    "ticks": "ticks a second, `daemon._driver.TICK_SECONDS` of 0.05",
     "rack_hosts": "hosts behind one rack or switch",
     "idle_seconds": "default of `idle_seconds` in `steering`",
     "opening_payload": "bytes of an opening CoAP packet",
@@ -99,6 +100,7 @@
     "host_list_changes_a_day": "changes of targets in a region's host list a day, "
     "besides its entry hosts",
     "readers_a_zone": "`membership.READERS_PER_ZONE`",
+    "relayed_request_bytes": "a 60-byte booking, `python -m benchmarks.home_hosts`",
     "start_spread": "seconds over which new hosts spread their first reads",
     "core_budget": "share of the core left to the data path",
 }
