Notice a pause before a datagram is judged; split the entry driver

Cause: the hold-down was asked before the event was fed, and the pause was only noticed while feeding, so the first packet after a pause was served from the facts before it. Ruled out: a check in each receiving method; the guard around all of them does it. Change: the guard checks for a pause first; Receiver, Executor and Components have modules of their own.

--- a/hornbeamdeal/daemon/_assembly.py
+++ b/hornbeamdeal/daemon/_assembly.py
@@ -14,7 +14,8 @@
 from hornbeamdeal.steering import Steering
 from hornbeamdeal.wire import PeerCodec
 
-from ._driver import Components, EntryDriver
+from ._components import Components
+from ._driver import EntryDriver
 from ._pause_check import PauseCheck
 from ._world import World
 
--- /dev/null
+++ b/hornbeamdeal/daemon/_executor.py
@@ -0,0 +1,214 @@
+"""Carries out the actions of the components."""
+
+from typing import Any
+
+from result import Err
+
+from hornbeamdeal import wire
+from hornbeamdeal.kernel import (
+    AcknowledgeRequest,
+    AnnouncePause,
+    CancelDispatch,
+    Count,
+    Dispatch,
+    DropPacket,
+    ForwardPacket,
+    HostListInUse,
+    LogEvent,
+    MembersChanged,
+    PlatformRead,
+    PutInForce,
+    ReadPlatform,
+    RelayPacket,
+    RelayRequest,
+    ReplyToCaller,
+    Request,
+    SendPeer,
+    UseHostList,
+    VersionInForce,
+)
+from hornbeamdeal.wire import peer_types
+
+TOKEN_BYTES = 8
+MESSAGE_IDS = 1 << 16
+
+
+class Executor:
+    """Carries out actions, one method for each type.
+
+    Parameters
+    ----------
+    driver : EntryDriver
+        Owns the ports, the world and the metrics.
+    """
+
+    __slots__ = ("driver", "message_id_", "carry_out_by_type_")
+
+    def __init__(self, *, driver: Any):
+        self.driver = driver
+        self.message_id_ = 0
+        self.carry_out_by_type_ = self._handlers()
+
+    def carry_out(self, action: Any) -> None:
+        """Carry out one action."""
+        self.carry_out_by_type_[type(action)](action)
+
+    def _handlers(self) -> dict[type, Any]:
+        return {
+            ForwardPacket: self._forward_packet,
+            RelayPacket: self._relay_packet,
+            RelayRequest: self._relay_request,
+            DropPacket: self._drop_packet,
+            Dispatch: self._dispatch,
+            CancelDispatch: self._cancel_dispatch,
+            AcknowledgeRequest: self._acknowledge,
+            ReplyToCaller: self._reply,
+            SendPeer: self._send_peer,
+            ReadPlatform: self._start_read,
+            PutInForce: self._put_in_force,
+            UseHostList: self._use_host_list,
+            MembersChanged: self._mark_changed,
+            AnnouncePause: self._take_pause,
+            Count: self.driver.metrics.count,
+            LogEvent: self._log_event,
+        }
+
+    def _forward_packet(self, action: ForwardPacket) -> None:
+        packet = action.packet
+        data = wire.encode_proxied(
+            packet.caller, packet.address, packet.payload, action.server.service
+        )
+        self.driver.server_port_.send(data, action.server.endpoint)
+
+    def _relay_packet(self, action: RelayPacket) -> None:
+        packet = action.packet
+        host = self.driver.components.membership.members_.get(action.host_id)
+        if host is None:
+            self.driver.metrics.count(Count("dropped", "owner_unknown"))
+            return
+        message = peer_types.RelayedPacket(
+            packet.caller.ip,
+            packet.caller.port,
+            packet.address.ip,
+            packet.address.port,
+            packet.payload,
+            packet.hops + 1,
+        )
+        self.driver.metrics.count(Count("relayed_packets"))
+        self.driver.peer_port_.send(self.driver.codec.encode(message), host.endpoint)
+
+    def _relay_request(self, action: RelayRequest) -> None:
+        request = action.request
+        message = peer_types.RelayedRequest(
+            request.caller.ip,
+            request.caller.port,
+            request.address.ip,
+            request.address.port,
+            request.datagram,
+            request.hops + 1,
+        )
+        self.driver.metrics.count(Count("relayed_requests"))
+        self.driver.peer_port_.send(self.driver.codec.encode(message), action.endpoint)
+
+    def _drop_packet(self, action: DropPacket) -> None:
+        address = self.driver.world.address_of(action.packet.address)
+        service = address.service if address else ""
+        self.driver.metrics.count(Count("dropped", action.reason, service))
+
+    def _dispatch(self, action: Dispatch) -> None:
+        data = wire.encode_request(
+            action.request,
+            action.server.service,
+            action.exchange_id.to_bytes(TOKEN_BYTES, "big"),
+            action.exchange_id % MESSAGE_IDS,
+            action.deadline - self.driver.clock.monotonic(),
+        )
+        self.driver.server_port_.send(data, action.server.endpoint)
+
+    def _cancel_dispatch(self, action: CancelDispatch) -> None:
+        data = wire.encode_cancel(action.exchange_id % MESSAGE_IDS)
+        self.driver.server_port_.send(data, action.server.endpoint)
+
+    def _acknowledge(self, action: AcknowledgeRequest) -> None:
+        data = wire.encode_acknowledgement(action.request.message_id)
+        self._send_to_caller(action.request, data)
+
+    def _reply(self, action: ReplyToCaller) -> None:
+        self.message_id_ = (self.message_id_ + 1) % MESSAGE_IDS
+        data = wire.encode_answer(action.request, action.answer, self.message_id_)
+        self._send_to_caller(action.request, data)
+
+    def _send_to_caller(self, request: Request, payload: bytes) -> None:
+        data = wire.encode_proxied(request.caller, request.address, payload)
+        self.driver.fabric_port_.send(data, self.driver.settings.fabric)
+
+    def _send_peer(self, action: SendPeer) -> None:
+        data = self.driver.codec.encode(action.message)
+        if action.bulk or len(data) > wire.MAXIMUM_DATAGRAM_BYTES:
+            self.driver.nursery_.start_soon(
+                self.driver.bulk_port_.send, data, action.endpoint
+            )
+        else:
+            self.driver.peer_port_.send(data, action.endpoint)
+        self.driver.metrics.count(Count("peer_bytes_sent", amount=len(data)))
+
+    def _start_read(self, action: ReadPlatform) -> None:
+        self.driver.nursery_.start_soon(self._read_platform, action)
+
+    async def _read_platform(self, action: ReadPlatform) -> None:
+        target = f"/v1/{action.key}"
+        if action.after_revision is not None:
+            target += f"?after={action.after_revision}"
+        self.driver.metrics.count(Count("platform_calls"))
+        source_ip = self.driver.settings.peer_listen.ip
+        response = await wire.get(self.driver.settings.platform, target, source_ip)
+        event = make_platform_event(action, response)
+        self.driver.feed(event, (self.driver.components.dissemination,))
+
+    def _put_in_force(self, action: PutInForce) -> None:
+        errors = self.driver.world.put_in_force(action.content)
+        if errors:
+            self.driver.metrics.count(Count("documents_rejected"))
+            self.driver.log(
+                "document_rejected", "error", version=action.version, detail=errors[0]
+            )
+            return
+        self.driver.metrics.set_gauge("version_in_force", action.version.number)
+        self.driver.log("document_in_force", version=action.version)
+        self.driver.hand_over(VersionInForce(action.version))
+
+    def _use_host_list(self, action: UseHostList) -> None:
+        errors = self.driver.world.use_host_list(action.content)
+        if errors:
+            self.driver.metrics.count(Count("host_lists_rejected"))
+            self.driver.log("host_list_rejected", "error", detail=errors[0])
+            return
+        self.driver.log("host_list_used", revision=action.revision)
+        entries = self.driver.world.host_list_.entry_hosts_by_id.values()
+        endpoints = tuple(entry.endpoint for entry in entries)
+        self.driver.hand_over(HostListInUse(action.revision, endpoints))
+
+    def _take_pause(self, action: AnnouncePause) -> None:
+        # The length is unknown: the clock stood still with the process.
+        self.driver.announce_pause(0.0, self.driver.clock.monotonic())
+
+    def _mark_changed(self, action: MembersChanged) -> None:
+        self.driver.world.is_changed_ = True
+
+    def _log_event(self, action: LogEvent) -> None:
+        self.driver.log(action.event, action.level, **action.fields)
+
+
+def make_platform_event(action: ReadPlatform, response: Any) -> PlatformRead:
+    """Turn the result of a read into an event."""
+    if isinstance(response, Err):
+        return PlatformRead(action.key, None, error=str(response.err_value))
+    answer = response.ok_value
+    if answer.status == 404:
+        return PlatformRead(action.key, None)
+    if answer.status == 304:
+        return PlatformRead(action.key, None, action.after_revision or 0, "unchanged")
+    if answer.status != 200:
+        return PlatformRead(action.key, None, error=f"status {answer.status}")
+    revision = int(answer.headers.get("x-revision", "0"))
+    return PlatformRead(action.key, answer.body, revision)
--- /dev/null
+++ b/hornbeamdeal/daemon/_receiver.py
@@ -0,0 +1,181 @@
+"""Turns received datagrams into events."""
+
+from dataclasses import dataclass, replace
+from typing import Any
+
+from result import Err
+
+from hornbeamdeal import wire
+from hornbeamdeal.kernel import (
+    Address,
+    AddressKind,
+    Answer,
+    AnswerStatus,
+    BackendServer,
+    CancelReceived,
+    Count,
+    Endpoint,
+    PacketReceived,
+    PeerReceived,
+    ReplyToCaller,
+    Request,
+    RequestReceived,
+    ServerAnswered,
+)
+from hornbeamdeal.wire import peer_types
+
+HELD_RETRY_SECONDS = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class Relay:
+    """How a caller's datagram came here: relayed by a peer, or not at all."""
+
+    hops: int = 0
+    host_id: str = ""
+    endpoint: Endpoint | None = None
+
+
+NO_RELAY = Relay()
+
+
+class Receiver:
+    """Decodes datagrams from the fabric, backend servers and peers.
+
+    Parameters
+    ----------
+    driver : EntryDriver
+        Takes the events.
+    """
+
+    __slots__ = ("driver",)
+
+    def __init__(self, *, driver: Any):
+        self.driver = driver
+
+    def receive_fabric(self, data: bytes, sender: Endpoint) -> None:
+        decoded = wire.decode_proxied(data)
+        if isinstance(decoded, Err):
+            self._count_malformed("fabric", decoded.err_value)
+            return
+        datagram = decoded.ok_value
+        address = self.driver.world.address_of(datagram.destination)
+        if address is None:
+            self.driver.metrics.count(Count("dropped", "unknown_address"))
+            return
+        self._receive_from_caller(datagram.payload, datagram.source, address)
+
+    def _receive_from_caller(
+        self,
+        payload: bytes,
+        caller: Endpoint,
+        address: Address,
+        relay: Relay = NO_RELAY,
+    ) -> None:
+        is_held = self.driver.world.is_held(
+            address.endpoint, self.driver.clock.monotonic()
+        )
+        if address.kind is AddressKind.REQUESTS:
+            self._receive_request(payload, caller, address, relay, is_held)
+        elif is_held:
+            self.driver.metrics.count(Count("dropped", "address_held", address.service))
+        else:
+            packet = wire.decode_packet(
+                address.codec, payload, caller, address.endpoint
+            )
+            packet = replace(packet, hops=relay.hops, relayed_by=relay.host_id)
+            self.driver.feed(PacketReceived(packet), (self.driver.components.steering,))
+
+    def _receive_request(self, payload, caller, address, relay, is_held) -> None:
+        decoded = wire.decode_request(payload, caller, address.endpoint)
+        if isinstance(decoded, Err):
+            self._count_malformed("caller", decoded.err_value)
+            return
+        message = decoded.ok_value
+        if isinstance(message, wire.CancelMessage):
+            event = CancelReceived(caller, address.endpoint, message.message_id)
+            self.driver.feed(event, (self.driver.components.dispatcher,))
+        elif isinstance(message, Request) and is_held:
+            self._refuse_held(message, address.service)
+        elif isinstance(message, Request):
+            request = replace(message, hops=relay.hops, relayed_by=relay.endpoint)
+            self.driver.feed(
+                RequestReceived(request), (self.driver.components.dispatcher,)
+            )
+
+    def _refuse_held(self, request: Request, service: str) -> None:
+        self.driver.metrics.count(Count("requests_refused", "address_held", service))
+        answer = Answer(
+            AnswerStatus.NOT_RUN, reason="address_held", retry_after=HELD_RETRY_SECONDS
+        )
+        self.driver.carry_out(ReplyToCaller(request, answer))
+
+    def receive_server(self, data: bytes, sender: Endpoint) -> None:
+        proxied = wire.decode_proxied(data)
+        if proxied.is_ok():
+            self._pass_to_caller(proxied.ok_value, sender)
+            return
+        decoded = wire.decode_server_message(data)
+        if isinstance(decoded, Err):
+            self._count_malformed("server", decoded.err_value)
+            return
+        message = decoded.ok_value
+        if not isinstance(message, wire.ServerMessage):
+            return
+        server = self._hear_server(sender)
+        exchange_id = int.from_bytes(message.token, "big")
+        server_id = server.server_id if server else ""
+        event = ServerAnswered(server_id, exchange_id, message.answer)
+        self.driver.feed(event, (self.driver.components.dispatcher,))
+
+    def _hear_server(self, sender: Endpoint) -> BackendServer | None:
+        server = self.driver.world.server_at(sender)
+        if server is not None:
+            self.driver.components.steering.hear_server(server.server_id)
+        return server
+
+    def _pass_to_caller(self, datagram: wire.ProxiedDatagram, sender: Endpoint) -> None:
+        server = self._hear_server(sender)
+        address = self.driver.world.address_of(datagram.destination)
+        if server is None or address is None or server.service != address.service:
+            self.driver.metrics.count(Count("dropped", "foreign_server_datagram"))
+            return
+        payload = datagram.payload
+        if address.codec == "coap":
+
+            def make_handle(token: bytes) -> bytes | None:
+                return self.driver.components.steering.make_handle(server, token)
+
+            payload = wire.add_flow_handle(payload, make_handle)
+        data = wire.encode_proxied(datagram.source, datagram.destination, payload)
+        self.driver.fabric_port_.send(data, self.driver.settings.fabric)
+
+    def receive_peer(self, data: bytes, sender: Endpoint) -> None:
+        decoded = self.driver.codec.decode(data)
+        if isinstance(decoded, Err):
+            self._count_malformed("peer", decoded.err_value)
+            return
+        datagram = decoded.ok_value
+        message = datagram.message
+        if isinstance(message, peer_types.RelayedPacket | peer_types.RelayedRequest):
+            relay = Relay(message.hops, datagram.host_id, sender)
+            self._receive_relayed(message, relay)
+            return
+        event = PeerReceived(datagram.host_id, datagram.incarnation, sender, message)
+        self.driver.feed(event, self.driver.components.all())
+
+    def _receive_relayed(self, message: Any, relay: Relay) -> None:
+        address = self.driver.world.address_of(
+            Endpoint(message.address_ip, message.address_port)
+        )
+        if address is None:
+            self.driver.metrics.count(Count("dropped", "unknown_address"))
+            return
+        is_packet = isinstance(message, peer_types.RelayedPacket)
+        payload = message.payload if is_packet else message.datagram
+        caller = Endpoint(message.caller_ip, message.caller_port)
+        self._receive_from_caller(payload, caller, address, relay)
+
+    def _count_malformed(self, origin: str, error: wire.MalformedMessageError) -> None:
+        self.driver.metrics.count(Count("malformed", f"{origin}_{error.reason}"))
+        self.driver.log("malformed_message", "warning", origin=origin, detail=error)
--- a/tests/daemon/pause_check.feature
+++ b/tests/daemon/pause_check.feature
@@ -31,3 +31,11 @@
     When no peer answers for 0.2 seconds
     Then the pause check is over
     And the unconfirmed pause is counted
+
+  Scenario: the first packet after a pause is not served from old facts
+    Guards against a packet that waited in the socket and is decided upon before
+    the pause is noticed.
+    Given a daemon driver that serves an address for requests
+    Then a request from the fabric reaches the dispatcher
+    When the driver did not run for 30 seconds
+    Then a request from the fabric is refused as "address_held"
--- a/tests/steps/pause_check_steps.py
+++ b/tests/steps/pause_check_steps.py
@@ -1,19 +1,44 @@
 """Steps for the check after a pause."""
 
+import logging
+from types import SimpleNamespace
+
 from behave import given, then, when
 
+from hornbeamdeal.daemon._components import Components
+from hornbeamdeal.daemon._driver import EntryDriver
 from hornbeamdeal.daemon._pause_check import PauseCheck
+from hornbeamdeal.daemon._world import World
 from hornbeamdeal.kernel import (
+    Address,
+    AddressKind,
     Count,
     Endpoint,
     EntryHost,
+    ManualClock,
     PauseDetected,
     PeerReceived,
+    RequestReceived,
     SendPeer,
+    StopRequested,
     Version,
     View,
 )
-from hornbeamdeal.wire import peer_types
+from hornbeamdeal.observability import Metrics
+from hornbeamdeal.settings import load_entry_settings
+from hornbeamdeal.wire import encode_caller_request, encode_proxied, peer_types
+
+COMPLETE = {
+    "host_id": "aqp-1",
+    "zone": "aqp",
+    "fabric": "127.0.0.2:6000",
+    "fabric_listen": "127.0.0.10:6000",
+    "server_listen": "127.0.0.10:6001",
+    "peer_listen": "127.0.0.10:6002",
+    "admin_listen": "127.0.0.10:6003",
+    "platform": "127.0.0.3:6003",
+    "peer_keys": "1:" + "ab" * 16,
+}
 
 HOSTS = [
     EntryHost(f"aqp-{n}", n, Endpoint(f"10.0.0.{n}", 6002), "aqp") for n in range(1, 6)
@@ -87,3 +112,81 @@
 @then("the unconfirmed pause is counted")
 def then_counted(context):
     assert Count("pauses_unconfirmed") in context.actions
+
+
+class RecordingComponent:
+    """Keeps the events that it is handed."""
+
+    members_ = {}
+    is_open_ = True
+
+    def __init__(self):
+        self.events = []
+
+    def update(self, view, now):
+        return []
+
+    def handle(self, event, now):
+        self.events.append(event)
+        return []
+
+
+def make_recording_driver():
+    part = RecordingComponent()
+    driver = EntryDriver(
+        settings=load_entry_settings(COMPLETE, {}).unwrap(),
+        clock=ManualClock(100.0),
+        components=Components(
+            membership=part,
+            dissemination=RecordingComponent(),
+            pause_check=part,
+            steering=RecordingComponent(),
+            dispatcher=RecordingComponent(),
+        ),
+        world=World(own_id="aqp-1", own_zone="aqp"),
+        codec=None,
+        metrics=Metrics(),
+        logger=logging.getLogger("hornbeamdeal.test"),
+    )
+    driver.fabric_port_ = SimpleNamespace(send=lambda data, endpoint: None)
+    return driver
+
+
+@given("a daemon driver that serves an address for requests")
+def given_driver(context):
+    driver = context.driver = make_recording_driver()
+    endpoint = Endpoint("10.0.1.1", 5683)
+    address = Address("a", "reservas", endpoint, AddressKind.REQUESTS)
+    view = View("aqp-1", "aqp", addresses_by_endpoint={endpoint: address})
+    driver.world.view_ = view
+    driver.world.is_changed_ = False
+    driver.world.hold_down_.update(view, 100.0)
+    # Small steps, since a gap of over a second counts as a pause.
+    for _ in range(20):
+        driver.clock.advance(0.5)
+        driver.feed(StopRequested(), ())
+
+
+def receive_request(driver):
+    payload = encode_caller_request("GET", "/rides", b"t", 7, b"")
+    data = encode_proxied(Endpoint("10.9.9.9", 9), Endpoint("10.0.1.1", 5683), payload)
+    driver.guard(driver.receiver_.receive_fabric)(data, Endpoint("10.0.0.2", 6000))
+    events = driver.components.dispatcher.events
+    return [event for event in events if isinstance(event, RequestReceived)]
+
+
+@then("a request from the fabric reaches the dispatcher")
+def then_reaches(context):
+    assert len(receive_request(context.driver)) == 1
+
+
+@when("the driver did not run for {seconds:d} seconds")
+def when_not_run(context, seconds):
+    context.driver.clock.advance(seconds)
+
+
+@then('a request from the fabric is refused as "{reason}"')
+def then_refused(context, reason):
+    assert len(receive_request(context.driver)) == 1
+    metrics = context.driver.metrics
+    assert metrics.value("requests_refused", "reservas", reason) == 1
