--- a/hornbeamdeal/admission/_baselines.py
+++ b/hornbeamdeal/admission/_baselines.py
@@ -1,5 +1,6 @@
 """Baselines for comparison, each with one queue in order of arrival."""
 
+from abc import ABC, abstractmethod
 from collections import OrderedDict
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -26,7 +27,7 @@
     server_id: str
 
 
-class _FifoAdmission:
+class _FifoAdmission(ABC):
     """One bounded queue over all services; subclasses choose the server."""
 
     def __init__(self, random_state: int | None = None, queue_limit: int = 1000):
@@ -91,8 +92,9 @@
         self._closed = True
         return self._refuse(list(self._waiting.values()), RefusalReason.STOPPING)
 
+    @abstractmethod
     def _choose(self, servers: Sequence[BackendServer]) -> BackendServer:
-        raise NotImplementedError
+        """Choose one of the servers with a free slot."""
 
     def _refuse_orphans(self) -> list[Decision]:
         services = self._servers_by_service
--- a/hornbeamdeal/steering/_routes.py
+++ b/hornbeamdeal/steering/_routes.py
@@ -4,15 +4,12 @@
 
 import xxhash
 
+from hornbeamdeal.document import HOLD_DOWN_SECONDS
 from hornbeamdeal.kernel import AddressKind, BackendServer, Endpoint, View
 
 from ._choice import ServerSet
 from ._keys import digest_of
 
-# More than the 3 s in which a document is in force on all hosts, so that no
-# host still sends the address's packets to the earlier service.
-HOLD_DOWN_SECONDS = 5.0
-
 
 @dataclass(slots=True)
 class Route:
--- a/hornbeamdeal/steering/_stateful.py
+++ b/hornbeamdeal/steering/_stateful.py
@@ -1,5 +1,6 @@
 """Baselines that keep each host's own flows, as single load balancers do."""
 
+from abc import abstractmethod
 from random import Random
 
 from hornbeamdeal.kernel import BackendServer, register
@@ -55,8 +56,9 @@
     def _removed(self, server_id: str) -> None:
         """Take note of a forgotten flow of a server."""
 
+    @abstractmethod
     def _pick(self, servers: list[BackendServer], service: str) -> BackendServer:
-        raise NotImplementedError
+        """Choose the server of a new flow."""
 
 
 @register("steering", "random")
--- a/hornbeamdeal/steering/_stateless.py
+++ b/hornbeamdeal/steering/_stateless.py
@@ -1,5 +1,6 @@
 """Common part of all steering plug-ins, and those that keep no flows."""
 
+from abc import ABC, abstractmethod
 from typing import Any
 
 from hornbeamdeal.kernel import (
@@ -19,7 +20,7 @@
 CACHED_CHOICES = 1 << 16
 
 
-class ViewSteering:
+class ViewSteering(ABC):
     """Steers packets by the latest view; subclasses choose the server.
 
     Parameters
@@ -50,7 +51,7 @@
         """Do nothing: no work is deferred."""
         return []
 
-    def hear_server(self, server_id: str) -> None:
+    def hear_server(self, server_id: str) -> None:  # noqa: B027 (optional hook)
         """Do nothing: the choice does not depend on reachability."""
 
     def make_handle(self, server: BackendServer, flow_token: bytes) -> bytes | None:
@@ -76,11 +77,12 @@
             return DropPacket(packet, "no_server")
         return ForwardPacket(server, packet)
 
-    def _servers_changed(self) -> None:
+    def _servers_changed(self) -> None:  # noqa: B027 (optional hook)
         """Discard what was derived from the earlier servers."""
 
+    @abstractmethod
     def _choose(self, key: int, route: Route) -> BackendServer | None:
-        raise NotImplementedError
+        """Choose the server of a flow key, None where there is none."""
 
 
 @register("steering", "modulo")
@@ -105,7 +107,7 @@
         super().__init__(random_state=random_state)
         self.choices_: dict[int, BackendServer | None] = {}
 
-    def _servers_changed(self) -> None:
+    def _servers_changed(self) -> None:  # noqa: B027 (optional hook)
         self.choices_.clear()
 
     def _choose(self, key: int, route: Route) -> BackendServer | None:
