Use one digest, manifest and order rule; take no nonsense revision from the platform

Cause: a read-through found dissemination with its own Manifest, digest_of and order rule beside those of document; relayed requests were counted under two names; a draw of random numbers only to ask whether a peer is known; an answer of the platform with a revision that is no number ended the daemon. Ruled out: one parser for manifests: document reports all faults with lines, dissemination only refuses, and their checks differ. Change: dissemination calls document's Manifest, digest_of and accept; PeerSet.is_empty; the counter relayed_requests is gone, requests_relayed stays; a bad revision is an error of the platform like any other. Conclusion: behaviour is otherwise unchanged.

--- a/benchmarks/fleet_platform.py
+++ b/benchmarks/fleet_platform.py
@@ -4,7 +4,7 @@
 import random
 from collections import Counter
 
-from hornbeamdeal.dissemination import digest_of
+from hornbeamdeal.document import digest_of
 from hornbeamdeal.kernel import PlatformRead, Version
 
 LATENCY_SECONDS = 0.003
--- a/hornbeamdeal/daemon/_executor.py
+++ b/hornbeamdeal/daemon/_executor.py
@@ -107,7 +107,6 @@
             request.datagram,
             request.hops + 1,
         )
-        self.driver.metrics.count(Count("relayed_requests"))
         self.driver.peer_port_.send(self.driver.codec.encode(message), action.endpoint)
 
     def _drop_packet(self, action: DropPacket) -> None:
@@ -210,5 +209,7 @@
         return PlatformRead(action.key, None, action.after_revision or 0, "unchanged")
     if answer.status != 200:
         return PlatformRead(action.key, None, error=f"status {answer.status}")
-    revision = int(answer.headers.get("x-revision", "0"))
-    return PlatformRead(action.key, answer.body, revision)
+    revision = answer.headers.get("x-revision", "0")
+    if not revision.isdecimal():
+        return PlatformRead(action.key, None, error=f"revision {revision!r}")
+    return PlatformRead(action.key, answer.body, int(revision))
--- a/hornbeamdeal/daemon/_receiver.py
+++ b/hornbeamdeal/daemon/_receiver.py
@@ -54,6 +54,7 @@
         self.driver = driver
 
     def receive_fabric(self, data: bytes, sender: Endpoint) -> None:
+        """Take a caller's datagram from the fabric."""
         decoded = wire.decode_proxied(data)
         if isinstance(decoded, Err):
             self._count_malformed("fabric", decoded.err_value)
@@ -111,6 +112,7 @@
         self.driver.carry_out(ReplyToCaller(request, answer))
 
     def receive_server(self, data: bytes, sender: Endpoint) -> None:
+        """Take a backend server's answer, or its datagram for a flow's caller."""
         proxied = wire.decode_proxied(data)
         if proxied.is_ok():
             self._pass_to_caller(proxied.ok_value, sender)
@@ -151,6 +153,7 @@
         self.driver.fabric_port_.send(data, self.driver.settings.fabric)
 
     def receive_peer(self, data: bytes, sender: Endpoint) -> None:
+        """Take a message of another entry host."""
         decoded = self.driver.codec.decode(data)
         if isinstance(decoded, Err):
             self._count_malformed("peer", decoded.err_value)
--- a/hornbeamdeal/dissemination/__init__.py
+++ b/hornbeamdeal/dissemination/__init__.py
@@ -2,12 +2,10 @@
 
 from ._dissemination import Dissemination
 from ._order import is_conflict, is_newer
-from ._segments import Manifest, digest_of, parse_manifest, split_host_list
+from ._segments import parse_manifest, split_host_list
 
 __all__ = [
     "Dissemination",
-    "Manifest",
-    "digest_of",
     "is_conflict",
     "is_newer",
     "parse_manifest",
--- a/hornbeamdeal/dissemination/_fetcher.py
+++ b/hornbeamdeal/dissemination/_fetcher.py
@@ -2,10 +2,10 @@
 
 import random
 
+from hornbeamdeal.document import digest_of
 from hornbeamdeal.kernel import Count, Endpoint, SendPeer
 from hornbeamdeal.wire import peer_types
 
-from ._segments import digest_of
 from ._topic import Candidate, Topic
 
 # A round trip takes a few milliseconds; a lost message costs one timeout of
--- a/hornbeamdeal/dissemination/_order.py
+++ b/hornbeamdeal/dissemination/_order.py
@@ -1,5 +1,6 @@
 """Order of versions: the only rule by which a host replaces what is in force."""
 
+from hornbeamdeal.document import accept
 from hornbeamdeal.kernel import Version
 
 # Stands for "nothing" in messages.
@@ -12,7 +13,7 @@
     A pure function of the two, so all hosts decide alike: the greater number
     wins, and of two documents with one number the greater digest.
     """
-    return candidate > (in_force or NO_VERSION)
+    return accept(in_force or NO_VERSION, candidate)
 
 
 def is_conflict(candidate: Version, in_force: Version | None) -> bool:
--- a/hornbeamdeal/dissemination/_peer_messages.py
+++ b/hornbeamdeal/dissemination/_peer_messages.py
@@ -2,12 +2,13 @@
 
 from typing import Any
 
+from hornbeamdeal.document import Manifest
 from hornbeamdeal.kernel import Count, Endpoint, SendPeer, Version
 from hornbeamdeal.wire import peer_types
 
 from ._fetcher import verified
 from ._progress import Progress
-from ._segments import MAXIMUM_SEGMENTS, Manifest
+from ._segments import MAXIMUM_SEGMENTS
 from ._server import answer_manifest_request, answer_segment_request, offer
 from ._topic import Topic
 
--- a/hornbeamdeal/dissemination/_peers.py
+++ b/hornbeamdeal/dissemination/_peers.py
@@ -39,6 +39,11 @@
         chosen = self.random.sample(new, min(GREETED_PEERS, len(new)))
         return [self._endpoint_by_id[host_id] for host_id in chosen]
 
+    @property
+    def is_empty(self) -> bool:
+        """Tell whether no peer is known."""
+        return not self._ids
+
     def sample(self, count: int) -> list[Endpoint]:
         """Return up to `count` random peers."""
         chosen = self.random.sample(self._ids, min(count, len(self._ids)))
--- a/hornbeamdeal/dissemination/_platform_answers.py
+++ b/hornbeamdeal/dissemination/_platform_answers.py
@@ -1,11 +1,12 @@
 """Answers of the platform: manifests, segments and host lists."""
 
+from hornbeamdeal.document import Manifest, digest_of
 from hornbeamdeal.kernel import Count, LogEvent, PlatformRead, Version
 
 from ._order import NO_VERSION
 from ._platform import HOSTS_KEY, MANIFEST_KEY, SEGMENT_KEY_PREFIX
 from ._progress import Progress
-from ._segments import Manifest, digest_of, parse_manifest, split_host_list
+from ._segments import parse_manifest, split_host_list
 from ._topic import DOCUMENT, HOSTS
 
 
--- a/hornbeamdeal/dissemination/_progress.py
+++ b/hornbeamdeal/dissemination/_progress.py
@@ -91,9 +91,8 @@
         stalled = now - candidate.progress_at >= PLATFORM_FALLBACK_SECONDS
         # A host that knows no peers yet elects itself, as all hosts do when a
         # region restarts; it waits a little before it reads as a reader.
-        is_joining = not self.peers.sample(1) and now < self.platform.started + (
-            JOINING_SECONDS
-        )
+        joins_until = self.platform.started + JOINING_SECONDS
+        is_joining = self.peers.is_empty and now < joins_until
         is_reader = candidate.use_platform and self.peers.is_reader and not is_joining
         if not is_reader and not stalled:
             return
--- a/hornbeamdeal/dissemination/_segments.py
+++ b/hornbeamdeal/dissemination/_segments.py
@@ -1,9 +1,9 @@
 """Digests, platform manifests and the segments of a host list."""
 
 import json
-from dataclasses import dataclass
 from hashlib import sha256
 
+from hornbeamdeal.document import Manifest
 from hornbeamdeal.kernel import Version
 
 MAXIMUM_SEGMENTS = 4096
@@ -14,19 +14,6 @@
 MAXIMUM_PIECE_BYTES = 16 * 1024
 
 
-@dataclass(frozen=True, slots=True)
-class Manifest:
-    """A version and the digests of its segments in order."""
-
-    version: Version
-    segment_digests: tuple[bytes, ...]
-
-
-def digest_of(content: bytes) -> bytes:
-    """Return the digest that names a segment or a document (SHA-256)."""
-    return sha256(content).digest()
-
-
 def parse_manifest(value: bytes) -> Manifest | None:
     """Return the platform's manifest, None where it is malformed."""
     try:
--- a/hornbeamdeal/dissemination/_topic.py
+++ b/hornbeamdeal/dissemination/_topic.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from hornbeamdeal.document import Manifest, digest_of
 from hornbeamdeal.kernel import (
     Count,
     Endpoint,
@@ -13,7 +14,6 @@
 )
 
 from ._order import NO_VERSION, is_conflict, is_newer
-from ._segments import Manifest, digest_of
 
 DOCUMENT = "document"
 HOSTS = "hosts"
--- a/tests/steps/dissemination_steps.py
+++ b/tests/steps/dissemination_steps.py
@@ -8,7 +8,8 @@
 from hypothesis import given as for_all, settings, strategies as st
 from minicheck import check_safety
 
-from hornbeamdeal.dissemination import Dissemination, digest_of
+from hornbeamdeal.dissemination import Dissemination
+from hornbeamdeal.document import digest_of
 from hornbeamdeal.kernel import (
     Count,
     Endpoint,
--- /dev/null
+++ b/tests/steps/platform_answers_steps.py
@@ -0,0 +1,25 @@
+"""Steps for the platform's answers."""
+
+from behave import then, when
+from result import Ok
+
+from hornbeamdeal.daemon._executor import make_platform_event
+from hornbeamdeal.kernel import ReadPlatform
+from hornbeamdeal.wire import HttpResponse
+
+
+@when('the daemon gets a platform answer with {status:d} and revision "{revision}"')
+def when_answer(context, status, revision):
+    response = HttpResponse(status, b"value", {"x-revision": revision})
+    action = ReadPlatform("hosts", after_revision=5)
+    context.event = make_platform_event(action, Ok(response))
+
+
+@then('the platform event has revision {number:d} and the error "{error}"')
+def then_event(context, number, error):
+    event = context.event
+    assert event.revision == number, event
+    if error == "none":
+        assert event.error == "", event
+    else:
+        assert error in event.error, event
