--- a/hornbeamdeal/dsr/__init__.py
+++ b/hornbeamdeal/dsr/__init__.py
@@ -4,11 +4,11 @@
 handle that the packets carry.
 """
 
-import lazy_loader
+from hornbeamdeal._lazy import attach
 
-__getattr__, __dir__, __all__ = lazy_loader.attach(
+__getattr__, __dir__, __all__ = attach(
     __name__,
-    submod_attrs={
+    {
         "_base": ["Journal", "PacketCodec", "Segment", "Transmit"],
         "_catalog": ["Catalog"],
         "_driver": ["Node"],
@@ -17,7 +17,8 @@
         "_flow_table": ["Flow", "FlowTable"],
         "_forwarder": ["Forwarder"],
         "_news_codec": ["decode_news", "encode_news"],
-        "_packet_port": ["PacketPort", "forward_waiting", "open_packet_socket"],
+        "_packet_port": ["PacketPort", "forward_waiting"],
+        "_packet_socket": ["open_packet_socket"],
         "_peering": ["Peering"],
         "_placement": ["FewestPlaced", "Placement", "TwoChoices", "make_placement"],
         "_reading_duty": ["ReadingDuty"],
--- a/hornbeamdeal/dsr/_driver.py
+++ b/hornbeamdeal/dsr/_driver.py
@@ -14,7 +14,7 @@
 from ._packet_port import forward_waiting
 from ._reading_duty import ReadingDuty
 from ._records import RouteTable, Update
-from ._source import Source
+from ._source import Source, SourceError
 
 TICK_SECONDS = 0.1
 # A host that has not loaded the catalog asks again this soon.
@@ -163,49 +163,48 @@
     async def _load_first(self) -> None:
         while not self.catalog.is_complete:
             started = self.clock.monotonic()
-            result = await self.source.load(may_be_stale=True)
-            if result.is_ok():
-                self._apply(result.ok_value)
-                seconds = round(self.clock.monotonic() - started, 3)
-                self._log_loaded(seconds, may_be_stale=True)
-            else:
-                error = result.err_value
+            try:
+                self._apply(await self.source.load(may_be_stale=True))
+            except SourceError as error:
                 self.journal.event("load_failed", reason=error.reason, detail=error)
                 await trio.sleep(LOAD_RETRY_SECONDS)
+            else:
+                seconds = round(self.clock.monotonic() - started, 3)
+                self._log_loaded(seconds, may_be_stale=True)
         # A stale copy counts as current until the usual age, so that all hosts
         # that start together leave the first fresh read to one of them.
         self.catalog.confirm(self.clock.monotonic())
 
     async def _read(self) -> None:
-        now = self.clock.monotonic()
-        if self.duty.is_reload_due(now):
-            await self._reload(now)
-            return
-        was_reading = self.duty.is_reading
-        wait = self.duty.watch_seconds
-        result = await self.source.watch(self.catalog.revision, wait)
-        if result.is_ok():
-            self._take(result.ok_value, now)
-            if not was_reading:
-                self.journal.event("reading_started", position=self.duty.position)
-        elif result.err_value.reason == "compacted":
-            await self._reload(self.clock.monotonic())
-        else:
-            self._note_failure(result.err_value, was_reading)
-
-    async def _reload(self, started: float) -> None:
         was_reading = self.duty.is_reading
-        result = await self.source.load(may_be_stale=False)
-        if result.is_ok():
-            self.duty.note_reload(self.clock.monotonic())
-            self._take(result.ok_value, started)
-            self._log_loaded(round(self.clock.monotonic() - started, 3), False)
-        else:
-            self._note_failure(result.err_value, was_reading)
-
-    def _note_failure(self, error: Any, was_reading: bool) -> None:
+        try:
+            if self.duty.is_reload_due(self.clock.monotonic()):
+                await self._reload()
+            else:
+                await self._watch()
+        except SourceError as error:
+            self._note_failure(error, was_reading)
+            return
+        if not was_reading:
+            self.journal.event("reading_started", position=self.duty.position)
+
+    async def _watch(self) -> None:
+        revision = self.catalog.revision
+        update = await self.source.watch(revision, self.duty.watch_seconds)
+        # Without events nothing was new when the watch was answered.
+        self._take(update, self.clock.monotonic())
+
+    async def _reload(self) -> None:
+        started = self.clock.monotonic()
+        update = await self.source.load(may_be_stale=False)
+        now = self.clock.monotonic()
+        self.duty.note_reload(now)
+        self._take(update, started)
+        self._log_loaded(round(now - started, 3), may_be_stale=False)
+
+    def _note_failure(self, error: SourceError, was_reading: bool) -> None:
         now = self.clock.monotonic()
-        self.duty.note_failure(now)
+        self.duty.note_failure(now, error.reason)
         self.journal.event(
             "read_failed",
             reason=error.reason,
@@ -214,14 +213,11 @@
             age_ms=round(1000 * self.catalog.age(now)),
         )
 
-    def _take(self, update: Update, started: float) -> None:
+    def _take(self, update: Update, confirmed_at: float) -> None:
         previous = self.catalog.routes
         self._apply(update)
-        # A watch without events proves that nothing was new when it was
-        # answered; a load only that nothing was when it started.
-        now = self.clock.monotonic()
-        self.catalog.confirm(started if update.base_revision is None else now)
-        self.duty.note_answer(not update.is_empty, now)
+        self.catalog.confirm(confirmed_at)
+        self.duty.note_answer(not update.is_empty, self.clock.monotonic())
         if self.peering is not None:
             self.peering.spread(update, previous)
 
--- a/hornbeamdeal/dsr/_packet_port.py
+++ b/hornbeamdeal/dsr/_packet_port.py
@@ -1,27 +1,15 @@
-"""The socket of callers' packets."""
+"""Reading and sending of packets without waiting."""
 
 import socket
 
-from hornbeamdeal.kernel import Endpoint
-
 from ._base import Journal
 from ._forwarder import Forwarder
 
-RECEIVE_BUFFER_BYTES = 1024 * 1024
 MAXIMUM_DATAGRAM_BYTES = 2048
 # Packets read in a row before other tasks get their turn.
 RECEIVE_BATCH = 64
 
 
-def open_packet_socket(listen: Endpoint) -> socket.socket:
-    """Bind the socket of callers' packets, so that they wait during the start."""
-    opened = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-    opened.setblocking(False)
-    opened.bind((listen.ip, listen.port))
-    return opened
-
-
 class PacketPort:
     """Sends datagrams without waiting; what the kernel refuses is counted."""
 
--- /dev/null
+++ b/hornbeamdeal/dsr/_packet_socket.py
@@ -0,0 +1,14 @@
+"""The socket of callers' packets; loads nothing else, as it is opened first."""
+
+import socket
+
+RECEIVE_BUFFER_BYTES = 1024 * 1024
+
+
+def open_packet_socket(ip: str, port: int) -> socket.socket:
+    """Bind the socket, so that packets wait in it during the start."""
+    opened = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    opened.setblocking(False)
+    opened.bind((ip, port))
+    return opened
--- a/hornbeamdeal/dsr/_reading_duty.py
+++ b/hornbeamdeal/dsr/_reading_duty.py
@@ -108,9 +108,15 @@
         self.must_reload = False
         self.reload_due = now + RELOAD_SECONDS
 
-    def note_failure(self, now: float) -> None:
-        """Take note of a failed read; the next one waits longer."""
+    def note_failure(self, now: float, reason: str) -> None:
+        """Take note of a failed read; the next one waits longer.
+
+        Where only the history is gone, everything is read at once.
+        """
         self.must_reload = True
+        if reason == "compacted":
+            self._not_before = now
+            return
         self._failures += 1
         limit = RETRY_LIMIT_SECONDS
         if self.is_stand_in:
--- a/hornbeamdeal/dsr/_source.py
+++ b/hornbeamdeal/dsr/_source.py
@@ -2,8 +2,6 @@
 
 from typing import Protocol
 
-from result import Result
-
 from hornbeamdeal.kernel import HornbeamdealError
 
 from ._records import Update
@@ -27,10 +25,8 @@
 class Source(Protocol):
     """Reads the store that publishes routes and servers."""
 
-    async def load(self, may_be_stale: bool) -> Result[Update, SourceError]:
-        """Read everything."""
+    async def load(self, may_be_stale: bool) -> Update:
+        """Read everything; raise SourceError where that fails."""
 
-    async def watch(
-        self, after_revision: int, wait_seconds: float
-    ) -> Result[Update, SourceError]:
-        """Wait for changes after a revision."""
+    async def watch(self, after_revision: int, wait_seconds: float) -> Update:
+        """Wait for changes after a revision; raise SourceError where that fails."""
--- a/hornbeamdeal/kernel/__init__.py
+++ b/hornbeamdeal/kernel/__init__.py
@@ -1,10 +1,10 @@
 """Events, actions, values and contracts shared by all components."""
 
-import lazy_loader
+from hornbeamdeal._lazy import attach
 
-__getattr__, __dir__, __all__ = lazy_loader.attach(
+__getattr__, __dir__, __all__ = attach(
     __name__,
-    submod_attrs={
+    {
         "_actions": [
             "AcknowledgeRequest",
             "AnnouncePause",
--- a/hornbeamdeal/kernel/_endpoint.py
+++ b/hornbeamdeal/kernel/_endpoint.py
@@ -1,10 +1,9 @@
 """Address of a UDP or TCP port."""
 
-from dataclasses import dataclass
+from typing import NamedTuple
 
 
-@dataclass(frozen=True, slots=True, order=True)
-class Endpoint:
+class Endpoint(NamedTuple):
     """An IP address and a UDP or TCP port."""
 
     ip: str
--- a/hornbeamdeal/kernel/_validation.py
+++ b/hornbeamdeal/kernel/_validation.py
@@ -1,6 +1,5 @@
 """One place that validates constructor parameters."""
 
-from dataclasses import dataclass
 from typing import Any, Protocol
 
 from ._errors import ParameterError
@@ -16,12 +15,14 @@
         """Name the allowed values for an error message."""
 
 
-@dataclass(frozen=True, slots=True)
 class Between:
     """A number in a closed interval."""
 
-    low: float
-    high: float
+    __slots__ = ("high", "low")
+
+    def __init__(self, low: float, high: float):
+        self.low = low
+        self.high = high
 
     def allows(self, value: Any) -> bool:
         """Tell whether the value is a number in the interval."""
@@ -33,11 +34,13 @@
         return f"a number from {self.low} to {self.high}"
 
 
-@dataclass(frozen=True, slots=True)
 class OneOf:
     """One of a few values."""
 
-    values: tuple[Any, ...]
+    __slots__ = ("values",)
+
+    def __init__(self, values: tuple[Any, ...]):
+        self.values = values
 
     def allows(self, value: Any) -> bool:
         """Tell whether the value is one of those listed."""
--- a/hornbeamdeal/observability/__init__.py
+++ b/hornbeamdeal/observability/__init__.py
@@ -1,10 +1,10 @@
 """Metrics and logs."""
 
-import lazy_loader
+from hornbeamdeal._lazy import attach
 
-__getattr__, __dir__, __all__ = lazy_loader.attach(
+__getattr__, __dir__, __all__ = attach(
     __name__,
-    submod_attrs={
+    {
         "_journal": ["BufferedJournal"],
         "_limiter": ["LogLimiter"],
         "_logs": ["KeyValueFormatter", "configure_logs"],
--- a/hornbeamdeal/platform/_entries.py
+++ b/hornbeamdeal/platform/_entries.py
@@ -3,8 +3,6 @@
 import json
 from typing import Any
 
-from result import Err, Ok, Result
-
 from hornbeamdeal.dsr import Route, RouteTable, Server
 from hornbeamdeal.kernel import HornbeamdealError
 
@@ -23,44 +21,40 @@
     __slots__ = ()
 
 
-def decode_server(
-    server_id: str, value: bytes, revision: int
-) -> Result[Server, EntryError]:
-    """Decode a server's own entry; any field of a wrong type makes it unusable."""
+def decode_server(server_id: str, value: bytes, revision: int) -> Server:
+    """Decode a server's own entry.
+
+    Raise EntryError where a field is missing or of a wrong type.
+    """
     try:
         fields = json.loads(value)
-        ip, port = _address(fields["address"])
-        return Ok(
-            Server(
-                server_id=server_id,
-                number=_number(server_id),
-                service=_text(fields["service"]),
-                address=(ip, port),
-                zone=_text(fields["zone"]),
-                slots=_whole(fields["slots"]),
-                is_draining=_DRAINING_BY_STATE[_text(fields["state"])],
-                cold_seconds=_whole(fields["cold_remaining_ms"]) / 1000,
-                revision=revision,
-            )
+        return Server(
+            server_id=server_id,
+            number=_number(server_id),
+            service=_text(fields["service"]),
+            address=_address(fields["address"]),
+            zone=_text(fields["zone"]),
+            slots=_whole(fields["slots"]),
+            is_draining=_DRAINING_BY_STATE[_text(fields["state"])],
+            cold_seconds=_whole(fields["cold_remaining_ms"]) / 1000,
+            revision=revision,
         )
     except (ValueError, KeyError, TypeError, OverflowError) as error:
-        return Err(EntryError(f"entry of {server_id!r}: {error!r}"))
+        raise EntryError(f"entry of {server_id!r}: {error!r}") from error
 
 
-def decode_routes(value: bytes) -> Result[RouteTable, EntryError]:
-    """Decode a configuration."""
+def decode_routes(value: bytes) -> RouteTable:
+    """Decode a configuration; raise EntryError where it is not usable."""
     try:
         fields = json.loads(value)
         routes = [_route(route) for route in fields["routes"]]
-        return Ok(
-            RouteTable(
-                version=_whole(fields["version"]),
-                routes_by_key={route.address_key: route for route in routes},
-                idle_timeout=_whole(fields["limits"]["idle_timeout_ms"]) / 1000,
-            )
+        return RouteTable(
+            version=_whole(fields["version"]),
+            routes_by_key={route.address_key: route for route in routes},
+            idle_timeout=_whole(fields["limits"]["idle_timeout_ms"]) / 1000,
         )
     except (ValueError, KeyError, TypeError, AttributeError) as error:
-        return Err(EntryError(f"configuration: {error!r}"))
+        raise EntryError(f"configuration: {error!r}") from error
 
 
 def _route(fields: dict[str, Any]) -> Route:
--- a/hornbeamdeal/platform/_packets.py
+++ b/hornbeamdeal/platform/_packets.py
@@ -1,7 +1,7 @@
 """Codec of the platform's packets: 32 bytes of header, then data."""
 
+import socket
 import struct
-from ipaddress import IPv4Address
 
 from hornbeamdeal.dsr import Segment
 
@@ -87,8 +87,15 @@
 
 
 def encode_end(ip: str, port: int) -> bytes:
-    """Return the 6 bytes by which packets name an address."""
-    return _END.pack(int(IPv4Address(ip)), port)
+    """Return the 6 bytes by which packets name an address.
+
+    Raise ValueError where it is no IPv4 address and port.
+    """
+    try:
+        octets = socket.inet_pton(socket.AF_INET, ip)
+        return _END.pack(int.from_bytes(octets, "big"), port)
+    except (OSError, struct.error) as error:
+        raise ValueError(f"{ip}:{port} is no IPv4 address and port") from error
 
 
 def _decode_end(end: bytes) -> tuple[str, int]:
--- a/hornbeamdeal/platform/_settings.py
+++ b/hornbeamdeal/platform/_settings.py
@@ -3,8 +3,6 @@
 import json
 from typing import Any
 
-from result import Err, Ok, Result
-
 from hornbeamdeal.kernel import Endpoint, HornbeamdealError
 
 SETTINGS_VARIABLE = "HORNBEAMDEAL_NODE_FILE"
@@ -51,20 +49,20 @@
         return {n: f"{a} -> {b}" for n, (a, b) in pairs.items() if a != b}
 
 
-def load_settings(path: str | None) -> Result[NodeSettings, SettingsError]:
-    """Read and check the settings file."""
+def load_settings(path: str | None) -> NodeSettings:
+    """Read and check the settings file; raise SettingsError with the remedy."""
     if not path:
         text = f"set {SETTINGS_VARIABLE} to the path of the node's settings file"
-        return Err(SettingsError(text))
+        raise SettingsError(text)
     try:
         with open(path, encoding="utf-8") as file:
             return decode_settings(json.load(file))
     except (OSError, UnicodeDecodeError, json.JSONDecodeError) as error:
         text = f"{path} can't be read as JSON ({error}); use deploy/settings.template"
-        return Err(SettingsError(text))
+        raise SettingsError(text) from error
 
 
-def decode_settings(fields: Any) -> Result[NodeSettings, SettingsError]:
+def decode_settings(fields: Any) -> NodeSettings:
     """Decode the settings file's fields; those not known are ignored."""
     reader = _FieldReader(fields)
     ports = reader.field("internal_ports", list)
@@ -85,8 +83,8 @@
         "flow_lifetime_seconds": reader.number("bounds", "flow_lifetime_s"),
     }
     if reader.problems:
-        return Err(SettingsError("settings file: " + "; ".join(reader.problems)))
-    return Ok(NodeSettings(**values))
+        raise SettingsError("settings file: " + "; ".join(reader.problems))
+    return NodeSettings(**values)
 
 
 def _port(reader: "_FieldReader", ports: Any, index: int) -> int:
--- a/hornbeamdeal/platform/_startup.py
+++ b/hornbeamdeal/platform/_startup.py
@@ -9,7 +9,7 @@
 import sys
 import time
 
-from hornbeamdeal.dsr import Forwarder, Journal, forward_waiting
+from hornbeamdeal.dsr import Forwarder, Journal, SourceError, forward_waiting
 from hornbeamdeal.kernel import Clock, Endpoint
 from hornbeamdeal.wire import BlockingHttpClient, run_blocking
 
@@ -22,13 +22,13 @@
 def load_catalog(store: Endpoint, forwarder: Forwarder, journal: Journal) -> None:
     """Read the catalog once; where it fails, the node's own reads go on."""
     source = StoreSource(client=BlockingHttpClient(endpoint=store), journal=journal)
-    result = run_blocking(source.load(may_be_stale=True))
-    if result.is_err():
-        error = result.err_value
+    try:
+        update = run_blocking(source.load(may_be_stale=True))
+    except SourceError as error:
         journal.event("load_failed", reason=error.reason, detail=error)
         return
     now = time.monotonic()
-    forwarder.catalog.apply(result.ok_value, now)
+    forwarder.catalog.apply(update, now)
     forwarder.catalog.confirm(now)
 
 
--- a/hornbeamdeal/platform/_store.py
+++ b/hornbeamdeal/platform/_store.py
@@ -5,12 +5,16 @@
 from typing import Any, Protocol
 from urllib.parse import urlencode
 
-from result import Err, Ok, Result
-
 from hornbeamdeal.dsr import Journal, Server, SourceError, Update
 from hornbeamdeal.wire import HttpError, HttpResponse
 
-from ._entries import CONFIG_KEY, SERVER_PREFIX, decode_routes, decode_server
+from ._entries import (
+    CONFIG_KEY,
+    SERVER_PREFIX,
+    EntryError,
+    decode_routes,
+    decode_server,
+)
 
 # The store answers in some milliseconds; a host that waits longer asks anew
 # while the time in which news must be in force lasts.
@@ -24,10 +28,8 @@
 class HttpGetter(Protocol):
     """Requests one resource of the store."""
 
-    async def get(
-        self, target: str, timeout_seconds: float
-    ) -> Result[HttpResponse, HttpError]:
-        """Return the response, or why there is none."""
+    async def get(self, target: str, timeout_seconds: float) -> HttpResponse:
+        """Return the response; raise HttpError where none came."""
 
 
 class StoreSource:
@@ -48,72 +50,59 @@
         self.journal = journal
         self._reported: dict[str, int] = {}
 
-    async def load(self, may_be_stale: bool) -> Result[Update, SourceError]:
+    async def load(self, may_be_stale: bool) -> Update:
         """Read everything; a stale read is cheap and may be seconds old."""
         options = {"stale_ok": 1} if may_be_stale else {}
         config = await self._call("kv-key", {"key": CONFIG_KEY, **options})
-        if config.is_err():
-            return config
-        items, revision = [], config.ok_value["as_of"]
+        items, revision = [config], config["as_of"]
         query = {"prefix": SERVER_PREFIX, **options}
         while True:
             page = await self._call("kv-range", query)
-            if page.is_err():
-                return page
-            revision = min(revision, page.ok_value["as_of"])
-            items += page.ok_value["items"]
-            if not page.ok_value["more_pages"]:
-                break
-            query["after"] = items[-1]["key"]
-        return self._update([config.ok_value, *items], None, revision)
-
-    async def watch(
-        self, after_revision: int, wait_seconds: float
-    ) -> Result[Update, SourceError]:
+            revision = min(revision, page["as_of"])
+            items += page["items"]
+            if not page["more_pages"]:
+                return self._update(items, None, revision)
+            query["after"] = page["items"][-1]["key"]
+
+    async def watch(self, after_revision: int, wait_seconds: float) -> Update:
         """Wait for changes after a revision; no change gives an empty update."""
         query = {"prefix": "", "after": after_revision}
         query["wait_ms"] = round(1000 * wait_seconds)
         timeout = wait_seconds + WATCH_MARGIN_SECONDS
         answer = await self._call("kv-watch", query, timeout)
-        if answer.is_err():
-            return answer
-        fields = answer.ok_value
-        return self._update(fields["events"], after_revision, fields["as_of"])
+        return self._update(answer["events"], after_revision, answer["as_of"])
 
     async def _call(
         self, name: str, query: dict[str, Any], timeout: float = ANSWER_TIMEOUT_SECONDS
-    ) -> Result[dict[str, Any], SourceError]:
+    ) -> dict[str, Any]:
         target = f"/-/{name}?{urlencode(query)}"
         self.journal.count("store_calls", name)
-        result = await self.client.get(target, timeout)
-        if result.is_err():
-            return self._fail("lost", str(result.err_value))
-        response = result.ok_value
+        try:
+            response = await self.client.get(target, timeout)
+        except HttpError as error:
+            raise self._failure("lost", str(error)) from error
         if response.status != 200:
             reason = _REASON_BY_STATUS.get(response.status, "refused")
-            return self._fail(reason, f"{target}: status {response.status}")
+            raise self._failure(reason, f"{target}: status {response.status}")
         try:
-            fields = json.loads(response.body)
-            if isinstance(fields["as_of"], int):
-                return Ok(fields)
+            return _check_answer(json.loads(response.body))
         except (ValueError, KeyError, TypeError) as error:
-            return self._fail("garbled", f"{target}: {error!r}")
-        return self._fail("garbled", f"{target}: as_of is no number")
+            raise self._failure("garbled", f"{target}: {error!r}") from error
 
-    def _fail(self, reason: str, text: str) -> Err[SourceError]:
+    def _failure(self, reason: str, text: str) -> SourceError:
         self.journal.count("store_failures", reason)
-        return Err(SourceError(reason, text))
+        return SourceError(reason, text)
 
     def _update(
         self, items: list[dict[str, Any]], base_revision: int | None, revision: int
-    ) -> Result[Update, SourceError]:
+    ) -> Update:
         update = Update(base_revision=base_revision, revision=revision, servers=[])
         try:
             for item in items:
                 self._take_item(update, item)
         except (ValueError, KeyError, TypeError) as error:
-            return self._fail("garbled", f"an item of the store: {error!r}")
-        return Ok(update)
+            raise self._failure("garbled", f"an item: {error!r}") from error
+        return update
 
     def _take_item(self, update: Update, item: dict[str, Any]) -> None:
         key, revision = item["key"], item["revision"]
@@ -133,27 +122,28 @@
             update.servers.append(server)
 
     def _take_routes(self, update: Update, value: bytes, revision: int) -> None:
-        decoded = decode_routes(value)
-        if decoded.is_ok():
-            update.routes = decoded.ok_value
-        else:
-            self._report(CONFIG_KEY, revision, str(decoded.err_value))
+        try:
+            update.routes = decode_routes(value)
+        except EntryError as error:
+            self._report(CONFIG_KEY, revision, str(error))
 
     def _server(self, server_id: str, item: dict[str, Any]) -> Server | None:
         revision = item["revision"]
         try:
             value = b64decode(item["value"], validate=True)
-        except (ValueError, TypeError) as error:
-            self._report(server_id, revision, repr(error))
-            return None
-        decoded = decode_server(server_id, value, revision)
-        if decoded.is_err():
-            self._report(server_id, revision, str(decoded.err_value))
+            return decode_server(server_id, value, revision)
+        except (ValueError, TypeError, EntryError) as error:
+            self._report(server_id, revision, str(error))
             return None
-        return decoded.ok_value
 
     def _report(self, key: str, revision: int, problem: str) -> None:
         if self._reported.get(key) != revision:
             self._reported[key] = revision
             self.journal.count("entries_unusable")
             self.journal.event("entry_unusable", key=key, problem=problem)
+
+
+def _check_answer(fields: dict[str, Any]) -> dict[str, Any]:
+    if not isinstance(fields["as_of"], int):
+        raise TypeError("as_of is no number")
+    return fields
--- a/hornbeamdeal/wire/__init__.py
+++ b/hornbeamdeal/wire/__init__.py
@@ -1,10 +1,10 @@
 """Codecs: CoAP, HTTP, PROXY protocol headers and messages between entry hosts."""
 
-import lazy_loader
+from hornbeamdeal._lazy import attach
 
-__getattr__, __dir__, __all__ = lazy_loader.attach(
+__getattr__, __dir__, __all__ = attach(
     __name__,
-    submod_attrs={
+    {
         "_coap": [
             "CancelMessage",
             "DEADLINE_OPTION",
--- a/hornbeamdeal/wire/_blocking_http.py
+++ b/hornbeamdeal/wire/_blocking_http.py
@@ -4,9 +4,6 @@
 from collections.abc import Coroutine
 from typing import Any
 
-import h11
-from result import Err, Result
-
 from hornbeamdeal.kernel import Endpoint
 
 from ._http_exchange import HttpError, HttpResponse, exchange
@@ -32,32 +29,39 @@
 class BlockingHttpClient:
     """Client with the interface of `HttpClient` whose requests block.
 
-    Each request uses a connection of its own. Every wait on the socket is
-    bounded by the request's time limit.
+    Each wait on the socket is bounded by the request's time limit.
     """
 
-    __slots__ = ("endpoint",)
+    __slots__ = ("endpoint", "opened_")
 
     def __init__(self, *, endpoint: Endpoint):
         self.endpoint = endpoint
+        self.opened_: socket.socket | None = None
 
-    async def get(
-        self, target: str, timeout_seconds: float
-    ) -> Result[HttpResponse, HttpError]:
-        """Request one resource."""
-        address = (self.endpoint.ip, self.endpoint.port)
-        headers = [("Host", str(self.endpoint)), ("Connection", "close")]
+    async def get(self, target: str, timeout_seconds: float) -> HttpResponse:
+        """Request one resource; raise HttpError where no whole answer came."""
+        keeps = False
         try:
-            with socket.create_connection(address, timeout_seconds) as opened:
-                return await exchange(
-                    h11.Connection(h11.CLIENT),
-                    _BlockingStream(opened),
-                    self.endpoint,
-                    target,
-                    headers,
-                )
-        except (OSError, h11.RemoteProtocolError) as error:
-            return Err(HttpError(f"GET {target} from {self.endpoint}: {error!r}"))
+            if self.opened_ is None:
+                address = (self.endpoint.ip, self.endpoint.port)
+                self.opened_ = socket.create_connection(address, timeout_seconds)
+            stream = _BlockingStream(self.opened_)
+            response, keeps = await exchange(
+                stream, self.endpoint, target, keep_alive=True
+            )
+            return response
+        except OSError as error:
+            text = f"GET {target} from {self.endpoint}: {error!r}"
+            raise HttpError(text) from error
+        finally:
+            if not keeps:
+                self.close()
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self.opened_ is not None:
+            self.opened_.close()
+        self.opened_ = None
 
 
 def run_blocking(coroutine: Coroutine[Any, Any, Any]) -> Any:
--- a/hornbeamdeal/wire/_http.py
+++ b/hornbeamdeal/wire/_http.py
@@ -1,27 +1,26 @@
-"""HTTP/1.1 for small messages, by h11 over trio."""
+"""HTTP/1.1 for small messages over trio: clients and a server of pages."""
 
 import logging
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from urllib.parse import parse_qsl, urlsplit
 
-import h11
+import httptools
 import trio
-from result import Err, Result
+from result import Err, Ok, Result
 
 from hornbeamdeal.kernel import Endpoint
 
-from ._http_exchange import HttpError, HttpResponse, exchange, next_event
+from ._http_exchange import RECEIVE_BYTES, HttpError, HttpResponse, exchange
 
 # A waiting watch lasts up to 30 s.
 REQUEST_TIMEOUT_SECONDS = 40.0
 MAXIMUM_CONNECTIONS = 64
-_FAILURES = (
-    OSError,
-    trio.BrokenResourceError,
-    trio.ClosedResourceError,
-    h11.RemoteProtocolError,
-)
+# A request has no body, so that its head is all there is to read.
+MAXIMUM_REQUEST_BYTES = 65536
+_REASONS_BY_STATUS = {200: "OK", 400: "Bad Request", 404: "Not Found"}
+_STREAM_FAILURES = (OSError, trio.BrokenResourceError, trio.ClosedResourceError)
+_FAILURES = (trio.TooSlowError, HttpError, *_STREAM_FAILURES)
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,17 +43,12 @@
                 endpoint.ip, endpoint.port, local_address=source_ip
             )
             async with stream:
-                return await _exchange(stream, endpoint, target)
-    except (trio.TooSlowError, *_FAILURES) as error:
+                response, _ = await exchange(stream, endpoint, target, keep_alive=False)
+                return Ok(response)
+    except _FAILURES as error:
         return Err(HttpError(f"GET {target} from {endpoint} failed: {error!r}"))
 
 
-async def _exchange(stream, endpoint, target) -> Result[HttpResponse, HttpError]:
-    connection = h11.Connection(h11.CLIENT)
-    headers = [("Host", str(endpoint)), ("Connection", "close")]
-    return await exchange(connection, stream, endpoint, target, headers)
-
-
 class HttpClient:
     """Client of one endpoint that keeps its connection for the next request.
 
@@ -62,58 +56,68 @@
     is closed: what was lost on it never comes.
     """
 
-    __slots__ = ("endpoint", "connect_timeout", "connection_", "stream_")
+    __slots__ = ("connect_timeout", "endpoint", "stream_")
 
     def __init__(self, *, endpoint: Endpoint, connect_timeout: float):
         self.endpoint = endpoint
         self.connect_timeout = connect_timeout
-        self.connection_: h11.Connection | None = None
         self.stream_: trio.SocketStream | None = None
 
-    async def get(
-        self, target: str, timeout_seconds: float
-    ) -> Result[HttpResponse, HttpError]:
-        """Request one resource; the time limit covers the whole answer."""
+    async def get(self, target: str, timeout_seconds: float) -> HttpResponse:
+        """Request one resource; raise HttpError where no whole answer came.
+
+        The time limit is for the answer, in seconds.
+        """
+        keeps = False
         try:
             if self.stream_ is None:
                 await self._connect()
             with trio.fail_after(timeout_seconds):
-                headers = [("Host", str(self.endpoint))]
-                result = await exchange(
-                    self.connection_, self.stream_, self.endpoint, target, headers
+                response, keeps = await exchange(
+                    self.stream_, self.endpoint, target, keep_alive=True
                 )
-        except (trio.TooSlowError, *_FAILURES) as error:
-            result = Err(HttpError(f"GET {target} from {self.endpoint}: {error!r}"))
-        except trio.Cancelled:
-            self.close()
-            raise
-        if result.is_err() or not self._start_next_cycle():
-            self.close()
-        return result
+                return response
+        except _FAILURES as error:
+            text = f"GET {target} from {self.endpoint}: {error!r}"
+            raise HttpError(text) from error
+        finally:
+            if not keeps:
+                self.close()
 
     def close(self) -> None:
         """Close the connection at once."""
         if self.stream_ is not None:
             self.stream_.socket.close()
-        self.stream_ = self.connection_ = None
+        self.stream_ = None
 
     async def _connect(self) -> None:
-        with trio.fail_after(self.connect_timeout):
-            opened = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_STREAM)
-            try:
+        opened = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_STREAM)
+        try:
+            with trio.fail_after(self.connect_timeout):
                 await opened.connect((self.endpoint.ip, self.endpoint.port))
-            except BaseException:
-                opened.close()
-                raise
+        except BaseException:
+            opened.close()
+            raise
         self.stream_ = trio.SocketStream(opened)
-        self.connection_ = h11.Connection(h11.CLIENT)
 
-    def _start_next_cycle(self) -> bool:
-        try:
-            self.connection_.start_next_cycle()
-        except h11.LocalProtocolError:
-            return False
-        return True
+
+class _RequestReader:
+    """Collects one request's head; its methods are the parser's."""
+
+    __slots__ = ("is_complete", "parser", "url")
+
+    def __init__(self):
+        self.parser = httptools.HttpRequestParser(self)
+        self.url = b""
+        self.is_complete = False
+
+    def on_url(self, url: bytes) -> None:
+        """Take a part of the target."""
+        self.url += url
+
+    def on_message_complete(self) -> None:
+        """Take note of the end of the request."""
+        self.is_complete = True
 
 
 async def serve_http(
@@ -128,36 +132,54 @@
             async with limit, stream:
                 with trio.move_on_after(REQUEST_TIMEOUT_SECONDS):
                     await _serve_one(stream, respond)
-        except _FAILURES:
+        except _STREAM_FAILURES:
             return
 
     await trio.serve_tcp(serve_connection, listen.port, host=listen.ip)
 
 
 async def _serve_one(stream, respond) -> None:
-    connection = h11.Connection(h11.SERVER)
-    received = await next_event(connection, stream)
-    if not isinstance(received, h11.Request):
+    request = await _read_request(stream)
+    if request is None:
         return
-    parts = urlsplit(received.target.decode())
-    request = HttpRequest(
-        received.method.decode(),
-        parts.path,
-        dict(parse_qsl(parts.query)),
-        stream.socket.getpeername()[0],
-    )
     try:
         response = await respond(request)
     except Exception:
         # A fault in one page must not end the daemon that serves callers.
         logging.getLogger("hornbeamdeal").exception("unexpected_error")
         response = HttpResponse(500, b"internal error; see the log\n")
-    if response is None:
-        return
-    headers = [("Content-Length", str(len(response.body))), ("Connection", "close")]
-    headers += list(response.headers.items())
-    head = h11.Response(status_code=response.status, headers=headers)
-    data = connection.send(head)
-    if response.body:
-        data += connection.send(h11.Data(data=response.body))
-    await stream.send_all(data + connection.send(h11.EndOfMessage()))
+    if response is not None:
+        await stream.send_all(_encode_response(response))
+
+
+async def _read_request(stream: trio.SocketStream) -> HttpRequest | None:
+    """Return the request; None where the caller sends none or no HTTP."""
+    reader = _RequestReader()
+    received = 0
+    while not reader.is_complete:
+        data = await stream.receive_some(RECEIVE_BYTES)
+        received += len(data)
+        if not data or received > MAXIMUM_REQUEST_BYTES:
+            return None
+        try:
+            reader.parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            logging.getLogger("hornbeamdeal").info("no_http_request: %r", error)
+            return None
+    parts = urlsplit(reader.url.decode("latin-1"))
+    return HttpRequest(
+        reader.parser.get_method().decode(),
+        parts.path,
+        dict(parse_qsl(parts.query)),
+        stream.socket.getpeername()[0],
+    )
+
+
+def _encode_response(response: HttpResponse) -> bytes:
+    headers = {"Content-Length": str(len(response.body)), "Connection": "close"}
+    headers.update(response.headers)
+    lines = [
+        f"HTTP/1.1 {response.status} {_REASONS_BY_STATUS.get(response.status, '')}"
+    ]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    return "\r\n".join([*lines, "", ""]).encode("latin-1") + response.body
--- a/hornbeamdeal/wire/_http_exchange.py
+++ b/hornbeamdeal/wire/_http_exchange.py
@@ -1,16 +1,15 @@
-"""One HTTP/1.1 exchange by h11, over any stream."""
+"""One HTTP/1.1 exchange, parsed by httptools, over any stream."""
 
-from dataclasses import dataclass, field
-from typing import Any, Protocol
+from typing import Protocol
 
-import h11
-from result import Err, Ok, Result
+import httptools
 
 from hornbeamdeal.kernel import Endpoint, HornbeamdealError
 
 RECEIVE_BYTES = 65536
-# A value of the platform has at most 1 MB; the rest is room for headers.
-MAXIMUM_BODY_BYTES = 1_100_000
+# A value of the platform has at most 1 MB; the rest is room for headers and,
+# in a page of items, for the text encoding of values.
+MAXIMUM_BODY_BYTES = 1_500_000
 
 
 class Stream(Protocol):
@@ -29,44 +28,62 @@
     __slots__ = ()
 
 
-@dataclass(frozen=True, slots=True)
 class HttpResponse:
     """A response with its body."""
 
-    status: int
-    body: bytes
-    headers: dict[str, str] = field(default_factory=dict)
+    __slots__ = ("body", "headers", "status")
 
+    def __init__(self, status: int, body: bytes, headers: dict[str, str] | None = None):
+        self.status = status
+        self.body = body
+        self.headers = headers or {}
 
-async def next_event(connection: h11.Connection, stream: Stream) -> Any:
-    """Return the next event of a connection, reading what it needs."""
-    while True:
-        event = connection.next_event()
-        if event is not h11.NEED_DATA:
-            return event
-        connection.receive_data(await stream.receive_some(RECEIVE_BYTES))
+
+class _ResponseReader:
+    """Collects the parts of one response; its methods are the parser's."""
+
+    __slots__ = ("body", "headers", "is_complete", "parser")
+
+    def __init__(self):
+        self.parser = httptools.HttpResponseParser(self)
+        self.headers: dict[str, str] = {}
+        self.body = bytearray()
+        self.is_complete = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take one header."""
+        self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
+    def on_body(self, data: bytes) -> None:
+        """Take a part of the body."""
+        self.body += data
+
+    def on_message_complete(self) -> None:
+        """Take note of the end of the response."""
+        self.is_complete = True
 
 
 async def exchange(
-    connection: h11.Connection,
-    stream: Stream,
-    endpoint: Endpoint,
-    target: str,
-    headers: list[tuple[str, str]],
-) -> Result[HttpResponse, HttpError]:
-    """Send a GET request and read the whole answer."""
-    head = h11.Request(method="GET", target=target, headers=headers)
-    data = connection.send(head) + connection.send(h11.EndOfMessage())
-    await stream.send_all(data)
-    response = await next_event(connection, stream)
-    if not isinstance(response, h11.Response):
-        return Err(HttpError(f"{endpoint} closed the connection without an answer"))
-    body = bytearray()
-    while isinstance(event := await next_event(connection, stream), h11.Data):
-        body += event.data
-        if len(body) > MAXIMUM_BODY_BYTES:
-            return Err(HttpError(f"{target} of {endpoint} is larger than 1 MB"))
-    if not isinstance(event, h11.EndOfMessage):
-        return Err(HttpError(f"{endpoint} closed the connection within an answer"))
-    names = {name.decode(): value.decode() for name, value in response.headers}
-    return Ok(HttpResponse(response.status_code, bytes(body), names))
+    stream: Stream, endpoint: Endpoint, target: str, *, keep_alive: bool
+) -> tuple[HttpResponse, bool]:
+    """Send a GET request; return the response and whether the stream stays open.
+
+    Raise HttpError where the answer is cut off, too large or no HTTP.
+    """
+    option = "keep-alive" if keep_alive else "close"
+    head = f"GET {target} HTTP/1.1\r\nHost: {endpoint}\r\nConnection: {option}\r\n\r\n"
+    await stream.send_all(head.encode("ascii"))
+    reader = _ResponseReader()
+    while not reader.is_complete:
+        data = await stream.receive_some(RECEIVE_BYTES)
+        if not data:
+            raise HttpError(f"{endpoint} closed the connection before a whole answer")
+        try:
+            reader.parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            raise HttpError(f"{endpoint} answered no HTTP: {error!r}") from error
+        if len(reader.body) > MAXIMUM_BODY_BYTES:
+            raise HttpError(f"{target} of {endpoint} is larger than 1 MB")
+    status = reader.parser.get_status_code()
+    response = HttpResponse(status, bytes(reader.body), reader.headers)
+    return response, reader.parser.should_keep_alive()
