Reset flows of a server that several callers find dead

Change: hosts tell each other of unanswered openings and of repeated data, and refute what they saw alive since. A server is dead after three such signs of two callers and 0.35 s without any progress, or two flows with two repetitions and 0.8 s; its flows are reset at their next data.

--- a/hornbeamdeal/dsr/_driver.py
+++ b/hornbeamdeal/dsr/_driver.py
@@ -144,10 +144,9 @@
             await trio.sleep(TICK_SECONDS)
             now = self.clock.monotonic()
             self.forwarder.tick(now)
-            for server_id, is_out in self.evidence.take_changes():
-                name = "server_out" if is_out else "server_back"
-                self.journal.event(name, server=server_id)
-                self.journal.count("server_choice", name)
+            for server_id, change in self.evidence.take_changes():
+                self.journal.event(change, server=server_id)
+                self.journal.count("server_choice", change)
             self.journal.flush()
 
     async def _read_forever(self) -> None:
--- a/hornbeamdeal/dsr/_evidence.py
+++ b/hornbeamdeal/dsr/_evidence.py
@@ -1,49 +1,108 @@
 """Evidence on servers from the flows that went on and those that did not.
 
 Only callers' packets come by a host, so a server proves itself alive through
-what its callers do next. Hosts tell each other what speaks against a server
-and what refutes it: each of them sees a small part of its flows.
+what its callers do next. Each host sees a small part of a server's flows, so
+hosts tell each other what speaks against a server and what refutes it.
 """
 
 from ._records import Server
 
+# A sign counts for this long; a server with little traffic gets few.
+SIGN_SECONDS = 2.0
 # Opening packets without an answer from which on a server gets no new flows.
-STRIKES = 2
-# A strike counts for this long; a busy server is struck less often.
-STRIKE_SECONDS = 2.0
-# One opening packet a host tries a struck server again after this long, and
-# goes to a second server at the same time.
+# A living server answers each within a millisecond unless a datagram is lost.
+OUT_OPENINGS = 2
+# One opening packet a host tries such a server again after this long, and goes
+# to a second server at the same time.
 TRIAL_SECONDS = 2.0
+# A server is dead where this many packets of several callers, or packets seen
+# by several hosts, got no reaction, and nobody has seen it alive for so long.
+DEAD_SIGNS = 3
+DEAD_CALLERS = 2
+DEAD_SILENCE_SECONDS = 0.35
+# The same from open flows alone. A living server repeats its acknowledgement
+# when data is repeated, so a second repetition is rarely its fault; the first
+# is common where work takes longer than the caller's timer.
+STALLED_REPETITIONS = 2
+STALLED_FLOWS = 2
+STALLED_SILENCE_SECONDS = 0.8
+
+
+class Sign:
+    """A packet that a server has not reacted to.
+
+    `sent_at` is the monotonic time at which the host had forwarded it before,
+    `caller` a hash of the caller's address, `repetitions` 0 for an opening
+    packet.
+    """
+
+    __slots__ = ("caller", "host", "repetitions", "sent_at")
+
+    def __init__(self, sent_at: float, caller: int, repetitions: int, host: str = ""):
+        self.sent_at = sent_at
+        self.caller = caller
+        self.repetitions = repetitions
+        self.host = host
 
 
 class ServerEvidence:
     """What is known of one server. Times are monotonic seconds."""
 
-    __slots__ = ("is_out", "progress_at", "strikes", "trial_due")
+    __slots__ = (
+        "is_dead",
+        "is_out",
+        "own_progress_at",
+        "progress_at",
+        "signs",
+        "trial_due",
+    )
 
     def __init__(self):
+        self.own_progress_at = float("-inf")
         self.progress_at = float("-inf")
-        self.strikes: list[float] = []
+        self.signs: list[Sign] = []
         self.is_out = False
+        self.is_dead = False
         self.trial_due = 0.0
 
+    def openings(self) -> int:
+        """Count the opening packets without an answer."""
+        return sum(sign.repetitions == 0 for sign in self.signs)
+
+    def shows_death(self, now: float) -> bool:
+        """Tell whether a living server would have been noticed."""
+        if not self.signs:
+            return False
+        first_sent = min(sign.sent_at for sign in self.signs)
+        silence = now - max(self.progress_at, first_sent)
+        if self.is_out and silence >= DEAD_SILENCE_SECONDS and self._are_independent():
+            return True
+        stalled = {s.caller for s in self.signs if s.repetitions >= STALLED_REPETITIONS}
+        return len(stalled) >= STALLED_FLOWS and silence >= STALLED_SILENCE_SECONDS
+
+    def _are_independent(self) -> bool:
+        callers = {sign.caller for sign in self.signs}
+        return len(self.signs) >= DEAD_SIGNS and len(callers) >= DEAD_CALLERS
+
 
 class EvidenceBook:
-    """Decides from own and peers' evidence which servers get no new flows.
+    """Decides from own and peers' evidence which servers are out or dead.
 
-    Attributes
-    ----------
-    changes : list of tuple of str and bool
-        Servers that went out of choice (True) or came back (False) since the
-        driver last took the list.
+    A server that is out gets no new flows. Open flows of a dead one are reset,
+    so that their callers go on elsewhere at once.
     """
 
-    __slots__ = ("changes", "evidence_by_id", "struck")
+    __slots__ = ("evidence_by_id", "_changes", "_unsent")
 
     def __init__(self):
         self.evidence_by_id: dict[str, ServerEvidence] = {}
-        self.changes: list[tuple[str, bool]] = []
-        self.struck: list[tuple[str, float]] = []
+        self._changes: list[tuple[str, str]] = []
+        self._unsent: list[tuple[str, Sign]] = []
+
+    def note_own_progress(self, server_id: str, now: float) -> None:
+        """Take note that a flow at this host proved a server alive."""
+        self._evidence_of(server_id).own_progress_at = now
+        self.note_progress(server_id, now)
 
     def note_progress(self, server_id: str, at: float) -> None:
         """Take note that a server was alive at a time."""
@@ -51,41 +110,62 @@
         if at <= evidence.progress_at:
             return
         evidence.progress_at = at
-        if evidence.strikes:
-            evidence.strikes = [s for s in evidence.strikes if s > at]
-        if evidence.is_out and len(evidence.strikes) < STRIKES:
-            evidence.is_out = False
-            self.changes.append((server_id, False))
-
-    def note_strike(self, server_id: str, at: float, is_own: bool = True) -> None:
-        """Take note of an opening packet that a server left unanswered."""
+        if evidence.signs:
+            evidence.signs = [s for s in evidence.signs if s.sent_at > at]
+        if evidence.is_out and evidence.openings() < OUT_OPENINGS:
+            evidence.is_out = evidence.is_dead = False
+            self._changes.append((server_id, "server_back"))
+        elif evidence.is_dead and not evidence.shows_death(at):
+            evidence.is_dead = False
+            self._changes.append((server_id, "server_back"))
+
+    def note_sign(self, server_id: str, sign: Sign, now: float) -> None:
+        """Take note of a packet that a server has not reacted to."""
         evidence = self._evidence_of(server_id)
-        if at <= evidence.progress_at:
+        if sign.sent_at <= evidence.progress_at:
             return
-        recent = [s for s in evidence.strikes if at - s < STRIKE_SECONDS]
-        evidence.strikes = [*recent, at]
-        if is_own:
-            self.struck.append((server_id, at))
-        if not evidence.is_out and len(evidence.strikes) >= STRIKES:
+        recent = [s for s in evidence.signs if now - s.sent_at < SIGN_SECONDS]
+        evidence.signs = [*recent, sign]
+        if not sign.host and (sign.repetitions != 1 or evidence.openings()):
+            self._unsent.append((server_id, sign))
+        if not evidence.is_out and evidence.openings() >= OUT_OPENINGS:
             evidence.is_out = True
-            evidence.trial_due = at + TRIAL_SECONDS
-            self.changes.append((server_id, True))
+            evidence.trial_due = now + TRIAL_SECONDS
+            self._changes.append((server_id, "server_out"))
 
     def is_out(self, server_id: str) -> bool:
         """Tell whether a server gets no new flows."""
         evidence = self.evidence_by_id.get(server_id)
-        return evidence is not None and evidence.is_out
+        return evidence is not None and (evidence.is_out or evidence.is_dead)
+
+    def is_dead(self, server_id: str, now: float) -> bool:
+        """Tell whether a server's flows are lost."""
+        evidence = self.evidence_by_id.get(server_id)
+        if evidence is None:
+            return False
+        if not evidence.is_dead and evidence.shows_death(now):
+            evidence.is_dead = True
+            evidence.trial_due = now + TRIAL_SECONDS
+            self._changes.append((server_id, "server_dead"))
+        return evidence.is_dead
 
     def progress_at(self, server_id: str) -> float:
         """Return when a server last proved alive."""
         evidence = self.evidence_by_id.get(server_id)
         return evidence.progress_at if evidence else float("-inf")
 
+    def own_progress_at(self, server_id: str) -> float:
+        """Return when a flow at this host last proved a server alive."""
+        evidence = self.evidence_by_id.get(server_id)
+        return evidence.own_progress_at if evidence else float("-inf")
+
     def take_trial(self, servers: list[Server], now: float) -> Server | None:
         """Return a server that one opening packet may try again."""
         for server in servers:
             evidence = self.evidence_by_id.get(server.server_id)
-            if evidence and evidence.is_out and now >= evidence.trial_due:
+            if evidence is None or not (evidence.is_out or evidence.is_dead):
+                continue
+            if now >= evidence.trial_due:
                 evidence.trial_due = now + TRIAL_SECONDS
                 return server
         return None
@@ -94,14 +174,14 @@
         """Drop the evidence on a server that is no longer listed."""
         self.evidence_by_id.pop(server_id, None)
 
-    def take_struck(self) -> list[tuple[str, float]]:
-        """Return own strikes that peers have not been told of."""
-        struck, self.struck = self.struck, []
-        return struck
+    def take_unsent(self) -> list[tuple[str, Sign]]:
+        """Return own signs that peers have not been told of."""
+        unsent, self._unsent = self._unsent, []
+        return unsent
 
-    def take_changes(self) -> list[tuple[str, bool]]:
-        """Return the servers that went out or came back."""
-        changes, self.changes = self.changes, []
+    def take_changes(self) -> list[tuple[str, str]]:
+        """Return servers that went out or came back, each with the change."""
+        changes, self._changes = self._changes, []
         return changes
 
     def _evidence_of(self, server_id: str) -> ServerEvidence:
--- a/hornbeamdeal/dsr/_fleet.py
+++ b/hornbeamdeal/dsr/_fleet.py
@@ -1,5 +1,6 @@
 """What a host and its peers tell each other: members, catalog, evidence."""
 
+import random
 from collections.abc import Callable
 from typing import Any
 
@@ -9,7 +10,7 @@
 
 from ._base import Journal
 from ._catalog import Catalog
-from ._evidence import STRIKE_SECONDS, EvidenceBook
+from ._evidence import SIGN_SECONDS, EvidenceBook, Sign
 from ._news_codec import decode_news, encode_news
 from ._reading_duty import ReadingDuty
 from ._records import RouteTable, Update
@@ -19,6 +20,8 @@
 # Peers that are told of an opening packet without an answer. In a larger fleet
 # a random part of it is told; the rest learns from its own flows.
 SIGN_FANOUT = 100
+# Hosts that refute a sign, on average, where many saw the server alive.
+REFUTING_HOSTS = 8
 
 
 class Fleet:
@@ -37,6 +40,7 @@
         "membership",
         "on_changes",
         "_peers",
+        "_random",
         "_request_due",
     )
 
@@ -49,6 +53,7 @@
         journal: Journal,
         membership: Membership,
         on_changes: Callable[[list[tuple[str, Any]]], None],
+        random_state: int | None = None,
     ):
         self.catalog = catalog
         self.duty = duty
@@ -57,6 +62,7 @@
         self.membership = membership
         self.on_changes = on_changes
         self._peers: list[EntryHost] = []
+        self._random = random.Random(random_state)
         self._request_due = float("-inf")
 
     def tick(self, now: float) -> list[Any]:
@@ -74,8 +80,7 @@
             if isinstance(message, peer_types.CatalogRequest):
                 return self._answer(event.endpoint, now)
             if isinstance(message, peer_types.ServerSigns):
-                self._take_signs(message, now)
-                return []
+                return self._take_signs(message, event.host_id, now)
         return self.membership.handle(event, now)
 
     def spread(
@@ -139,27 +144,56 @@
         return [SendPeer(sender, message, bulk=True)]
 
     def _tell_signs(self, now: float) -> list[Any]:
-        struck = self.evidence.take_struck()
-        if not struck:
+        unsent = self.evidence.take_unsent()
+        if not unsent:
             return []
-        ages_by_id: dict[str, list[int]] = {}
-        for server_id, at in struck:
-            ages_by_id.setdefault(server_id, []).append(round(1000 * (now - at)))
+        signs_by_id: dict[str, list[Any]] = {}
+        for server_id, sign in unsent:
+            age_ms = round(1000 * (now - sign.sent_at))
+            entry = peer_types.Sign(age_ms, sign.caller, sign.repetitions)
+            signs_by_id.setdefault(server_id, []).append(entry)
         signs = [
-            peer_types.ServerSign(server_id, ages, -1, 0)
-            for server_id, ages in ages_by_id.items()
+            peer_types.ServerSign(server_id, entries, self._progress_ms(server_id, now))
+            for server_id, entries in signs_by_id.items()
         ]
-        message = peer_types.ServerSigns(signs)
-        return [SendPeer(peer.endpoint, message) for peer in self._peers[:SIGN_FANOUT]]
+        return self._tell(peer_types.ServerSigns(signs))
 
-    def _take_signs(self, message: Any, now: float) -> None:
+    def _tell(self, message: Any) -> list[Any]:
+        peers = self._peers
+        if len(peers) > SIGN_FANOUT:
+            peers = self._random.sample(peers, SIGN_FANOUT)
+        return [SendPeer(peer.endpoint, message) for peer in peers]
+
+    def _take_signs(self, message: Any, host: str, now: float) -> list[Any]:
+        refuted = []
         for sign in message.signs or ():
-            if sign.server_id not in self.catalog.servers_by_id:
+            server_id = sign.server_id
+            if server_id not in self.catalog.servers_by_id:
                 continue
-            for age_ms in sign.strike_ages_ms or ():
-                if 0 <= age_ms < 1000 * STRIKE_SECONDS:
-                    at = now - age_ms / 1000
-                    self.evidence.note_strike(sign.server_id, at, is_own=False)
+            if sign.progress_age_ms >= 0:
+                at = now - sign.progress_age_ms / 1000
+                self.evidence.note_progress(server_id, at)
+            for entry in sign.signs or ():
+                sent_at = now - entry.age_ms / 1000
+                note = Sign(sent_at, entry.caller, entry.repetitions, host)
+                if self.evidence.progress_at(server_id) >= sent_at:
+                    refuted.append(server_id)
+                elif now - sent_at < SIGN_SECONDS:
+                    self.evidence.note_sign(server_id, note, now)
+        return self._refute(refuted, now)
+
+    def _refute(self, server_ids: list[str], now: float) -> list[Any]:
+        """Tell that servers are alive; in a large fleet a few hosts do it."""
+        own = self.evidence.own_progress_at
+        known = [i for i in set(server_ids) if now - own(i) < SIGN_SECONDS]
+        if not known or self._random.random() * len(self._peers) > REFUTING_HOSTS:
+            return []
+        signs = [peer_types.ServerSign(i, [], self._progress_ms(i, now)) for i in known]
+        return self._tell(peer_types.ServerSigns(signs))
+
+    def _progress_ms(self, server_id: str, now: float) -> int:
+        at = self.evidence.own_progress_at(server_id)
+        return round(1000 * (now - at)) if now - at < SIGN_SECONDS else -1
 
 
 def reader_order(hosts: list[EntryHost]) -> tuple[list[str], int]:
--- a/hornbeamdeal/dsr/_flow_table.py
+++ b/hornbeamdeal/dsr/_flow_table.py
@@ -4,6 +4,8 @@
 from ._records import Server
 
 SWEEP_SECONDS = 1.0
+# Callers repeat packets after 200 ms at the earliest.
+REPETITION_SECONDS = 0.15
 # Sequence numbers wrap at 32 bits (RFC 9293, 3.4).
 SEQUENCE_MODULUS = 1 << 32
 HALF_SEQUENCE_SPACE = 1 << 31
@@ -17,8 +19,9 @@
 class Flow:
     """One flow as this host sees it; only the caller's packets come by here.
 
-    `unanswered` counts the repetitions of data since the server last proved
-    that it received something. Times are monotonic seconds.
+    `repetitions` counts how often data was repeated since the server last
+    proved that it received something, `sent_at` is when the data, or the
+    opening packet, was forwarded last. Times are monotonic seconds.
     """
 
     __slots__ = (
@@ -28,10 +31,10 @@
         "last_at",
         "next_sequence",
         "opened_at",
+        "repetitions",
+        "sent_at",
         "server",
         "tried",
-        "unanswered",
-        "waiting_since",
     )
 
     def __init__(self, now: float):
@@ -43,8 +46,8 @@
         self.is_established = False
         self.next_sequence: int | None = None
         self.acknowledgement: int | None = None
-        self.unanswered = 0
-        self.waiting_since: float | None = None
+        self.repetitions = 0
+        self.sent_at = now
 
     def note_segment(self, segment: Segment, now: float) -> bool:
         """Take a packet of the open flow; tell whether the server proved alive.
@@ -62,20 +65,26 @@
             is_alive = True
             self.acknowledgement = segment.acknowledgement
         if is_alive:
-            self.unanswered = 0
-            self.waiting_since = None
-        if segment.length:
-            self._note_data(segment, now)
+            self.repetitions = 0
         return is_alive
 
-    def _note_data(self, segment: Segment, now: float) -> None:
+    def note_data(self, segment: Segment, now: float) -> float | None:
+        """Take a packet's data; where it is a repetition, return the silence.
+
+        That is how long ago the data was forwarded before, in seconds. Packets
+        that waited together, here or on the way, are no repetitions.
+        """
         end = (segment.sequence + segment.length) % SEQUENCE_MODULUS
         if self.next_sequence is None or is_after(end, self.next_sequence):
             self.next_sequence = end
-        else:
-            self.unanswered += 1
-        if self.waiting_since is None:
-            self.waiting_since = now
+            self.sent_at = now
+            return None
+        silence = now - self.sent_at
+        if silence < REPETITION_SECONDS:
+            return None
+        self.repetitions += 1
+        self.sent_at = now
+        return silence
 
 
 class FlowTable:
--- a/hornbeamdeal/dsr/_forwarder.py
+++ b/hornbeamdeal/dsr/_forwarder.py
@@ -1,17 +1,20 @@
 """Decision on each packet of a caller: which server, a reset, or nothing."""
 
 import random
+import zlib
 
 from ._base import Journal, PacketCodec, Segment, Transmit
 from ._catalog import Catalog
-from ._evidence import EvidenceBook
-from ._flow_table import Flow, FlowTable
+from ._evidence import EvidenceBook, Sign
+from ._flow_table import REPETITION_SECONDS, Flow, FlowTable
 from ._placement import Placement
 from ._records import NO_HANDLE, Route, Server
 
 # A refusal for want of a route must be true, so the catalog may be no older
 # than this; below it a new route is on its way to this host.
 REFUSAL_AGE_SECONDS = 2.0
+# A flow's key begins with the caller's IPv4 address.
+CALLER_IP_BYTES = 4
 
 
 class Forwarder:
@@ -84,7 +87,8 @@
         if flow is None or flow.is_established:
             flow = self.flows.open(segment.flow_key, now)
         flow.last_at = now
-        if flow.tried and segment.copy_number <= flow.copies:
+        is_copy = segment.copy_number <= flow.copies
+        if flow.tried and (is_copy or now - flow.sent_at < REPETITION_SECONDS):
             self._send(segment, flow.tried[-1])
             return
         self._place(segment, route, flow, now)
@@ -106,6 +110,7 @@
         server = self.placement.choose(candidates, now)
         self.placement.note_placed(server, now)
         flow.tried.append(server)
+        flow.sent_at = now
         self._send(segment, server)
         self.journal.count("flows_placed", "repeated" if flow.copies else "first")
         self.journal.event(
@@ -123,15 +128,23 @@
 
     def _strike(self, flow: Flow, segment: Segment, now: float) -> None:
         last = flow.tried[-1]
-        self.evidence.note_strike(last.server_id, now)
+        caller = hash_caller(segment)
+        self.evidence.note_sign(last.server_id, Sign(flow.sent_at, caller, 0), now)
         self.journal.count("opening_unanswered")
         self.journal.event(
             "opening_unanswered",
             flow=self.codec.describe_flow(segment.flow_key),
             server=last.server_id,
             copy=segment.copy_number,
+            silence_ms=round(1000 * (now - flow.sent_at)),
+            alive_ms=self._alive_ms(last, now),
         )
 
+    def _alive_ms(self, server: Server, now: float) -> int:
+        """Return how long ago a server proved alive, -1 where that is unknown."""
+        at = self.evidence.progress_at(server.server_id)
+        return round(1000 * (now - at)) if at > float("-inf") else -1
+
     def _try_again(
         self, segment: Segment, listed: list[Server], flow: Flow, now: float
     ) -> None:
@@ -164,15 +177,29 @@
             self._reset(segment, server, "server_gone", now)
             return
         flow = self.flows.get(segment.flow_key) or self._adopt(segment, now)
-        flow.server = server
-        if flow.note_segment(segment, now):
-            self.evidence.note_progress(server.server_id, now)
-        if segment.is_ending and not segment.length:
-            flow.waiting_since = None
+        self._note(segment, flow, server, now)
+        if segment.length and self.evidence.is_dead(server.server_id, now):
+            self._reset(segment, server, "server_silent", now)
+            return
         self.transmit(
             self.codec.encapsulate(segment.data, server.number), server.address
         )
 
+    def _note(self, segment: Segment, flow: Flow, server: Server, now: float) -> None:
+        """Take what the packet tells of the flow's server."""
+        if not flow.is_established:
+            self.journal.observe("handshake_seconds", now - flow.sent_at)
+        flow.server = server
+        if flow.note_segment(segment, now):
+            self.evidence.note_own_progress(server.server_id, now)
+        if not segment.length:
+            return
+        silence = flow.note_data(segment, now)
+        if silence is not None:
+            self.journal.count("data_repeated")
+            sign = Sign(now - silence, hash_caller(segment), flow.repetitions)
+            self.evidence.note_sign(server.server_id, sign, now)
+
     def _adopt(self, segment: Segment, now: float) -> Flow:
         """Start the record of a flow that another host opened."""
         flow = self.flows.open(segment.flow_key, now)
@@ -205,7 +232,13 @@
             flow=self.codec.describe_flow(segment.flow_key),
             server=server.server_id,
             reason=reason,
+            alive_ms=self._alive_ms(server, now),
             revision=self.catalog.revision,
             age_ms=round(1000 * self.catalog.age(now)),
         )
         self.transmit(*self.codec.make_reset(segment))
+
+
+def hash_caller(segment: Segment) -> int:
+    """Return a 31-bit hash of the caller's address, without the port."""
+    return zlib.crc32(segment.flow_key[:CALLER_IP_BYTES]) >> 1
--- a/hornbeamdeal/wire/_generated/peer/ttypes.py
+++ b/hornbeamdeal/wire/_generated/peer/ttypes.py
@@ -2608,29 +2608,118 @@
         return not (self == other)
 
 
+class Sign(object):
+    """
+    Attributes:
+     - age_ms
+     - caller
+     - repetitions
+
+    """
+
+    __slots__ = (
+        'age_ms',
+        'caller',
+        'repetitions',
+    )
+
+
+    def __init__(self, age_ms=None, caller=None, repetitions=None,):
+        self.age_ms = age_ms
+        self.caller = caller
+        self.repetitions = repetitions
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.caller = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.repetitions = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Sign')
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 1)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.caller is not None:
+            oprot.writeFieldBegin('caller', TType.I32, 2)
+            oprot.writeI32(self.caller)
+            oprot.writeFieldEnd()
+        if self.repetitions is not None:
+            oprot.writeFieldBegin('repetitions', TType.I32, 3)
+            oprot.writeI32(self.repetitions)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class ServerSign(object):
     """
     Attributes:
      - server_id
-     - strike_ages_ms
+     - signs
      - progress_age_ms
-     - stalled_flows
 
     """
 
     __slots__ = (
         'server_id',
-        'strike_ages_ms',
+        'signs',
         'progress_age_ms',
-        'stalled_flows',
     )
 
 
-    def __init__(self, server_id=None, strike_ages_ms=None, progress_age_ms=None, stalled_flows=None,):
+    def __init__(self, server_id=None, signs=None, progress_age_ms=None,):
         self.server_id = server_id
-        self.strike_ages_ms = strike_ages_ms
+        self.signs = signs
         self.progress_age_ms = progress_age_ms
-        self.stalled_flows = stalled_flows
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2648,11 +2737,12 @@
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
-                    self.strike_ages_ms = []
+                    self.signs = []
                     (_etype126, _size123) = iprot.readListBegin()
                     for _i127 in range(_size123):
-                        _elem128 = iprot.readI32()
-                        self.strike_ages_ms.append(_elem128)
+                        _elem128 = Sign()
+                        _elem128.read(iprot)
+                        self.signs.append(_elem128)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2661,11 +2751,6 @@
                     self.progress_age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.I32:
-                    self.stalled_flows = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2680,21 +2765,17 @@
             oprot.writeFieldBegin('server_id', TType.STRING, 1)
             oprot.writeString(self.server_id.encode('utf-8') if sys.version_info[0] == 2 else self.server_id)
             oprot.writeFieldEnd()
-        if self.strike_ages_ms is not None:
-            oprot.writeFieldBegin('strike_ages_ms', TType.LIST, 2)
-            oprot.writeListBegin(TType.I32, len(self.strike_ages_ms))
-            for iter129 in self.strike_ages_ms:
-                oprot.writeI32(iter129)
+        if self.signs is not None:
+            oprot.writeFieldBegin('signs', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.signs))
+            for iter129 in self.signs:
+                iter129.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.progress_age_ms is not None:
             oprot.writeFieldBegin('progress_age_ms', TType.I32, 3)
             oprot.writeI32(self.progress_age_ms)
             oprot.writeFieldEnd()
-        if self.stalled_flows is not None:
-            oprot.writeFieldBegin('stalled_flows', TType.I32, 4)
-            oprot.writeI32(self.stalled_flows)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3364,13 +3445,19 @@
     None,  # 0
     (1, TType.I64, 'after_revision', None, None, ),  # 1
 )
+all_structs.append(Sign)
+Sign.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'age_ms', None, None, ),  # 1
+    (2, TType.I32, 'caller', None, None, ),  # 2
+    (3, TType.I32, 'repetitions', None, None, ),  # 3
+)
 all_structs.append(ServerSign)
 ServerSign.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'server_id', 'UTF8', None, ),  # 1
-    (2, TType.LIST, 'strike_ages_ms', (TType.I32, None, False), None, ),  # 2
+    (2, TType.LIST, 'signs', (TType.STRUCT, [Sign, None], False), None, ),  # 2
     (3, TType.I32, 'progress_age_ms', None, None, ),  # 3
-    (4, TType.I32, 'stalled_flows', None, None, ),  # 4
 )
 all_structs.append(ServerSigns)
 ServerSigns.thrift_spec = (
--- a/hornbeamdeal/wire/peer.thrift
+++ b/hornbeamdeal/wire/peer.thrift
@@ -178,13 +178,20 @@
   1: i64 after_revision
 }
 
-// Opening packets that a server left unanswered, and flows of it that went on,
-// by their ages.
+// A packet that a server has not reacted to. `caller` is a hash of the caller's
+// address, `repetitions` is 0 for an opening packet.
+struct Sign {
+  1: i32 age_ms
+  2: i32 caller
+  3: i32 repetitions
+}
+
+// What speaks against a server, and how long ago it proved alive, -1 where that
+// is not known.
 struct ServerSign {
   1: string server_id
-  2: list<i32> strike_ages_ms
-  3: i32 progress_age_ms // -1 where there was none
-  4: i32 stalled_flows
+  2: list<Sign> signs
+  3: i32 progress_age_ms
 }
 
 struct ServerSigns {
