Test forwarding, evidence and reading without the bench

Cause: the decisions of dsr had no tests of their own.

Change: hosts on a manual clock, callers and living servers on lossy links, and fleets of up to 40 hosts on trio's mock clock; the reading loop is a class of its own so that tests run it.

--- a/hornbeamdeal/dsr/__init__.py
+++ b/hornbeamdeal/dsr/__init__.py
@@ -11,8 +11,9 @@
     {
         "_base": ["Journal", "PacketCodec", "Segment", "Transmit"],
         "_catalog": ["Catalog"],
+        "_catalog_reader": ["CatalogReader"],
         "_driver": ["Node"],
-        "_evidence": ["EvidenceBook"],
+        "_evidence": ["EvidenceBook", "Sign"],
         "_fleet": ["Fleet", "reader_order"],
         "_flow_table": ["Flow", "FlowTable"],
         "_forwarder": ["Forwarder"],
--- /dev/null
+++ b/hornbeamdeal/dsr/_catalog_reader.py
@@ -0,0 +1,192 @@
+"""Reads the store when that is this host's duty, and keeps the catalog current."""
+
+from typing import Any, Protocol
+
+import trio
+
+from hornbeamdeal.kernel import Clock
+
+from ._base import Journal
+from ._catalog import Catalog
+from ._evidence import EvidenceBook
+from ._reading_duty import ReadingDuty
+from ._records import RouteTable, Update
+from ._source import Source, SourceError
+
+# Longest wait between two looks at whether a read is due.
+CHECK_SECONDS = 0.1
+# A host that has not loaded the catalog asks again this soon.
+LOAD_RETRY_SECONDS = 0.25
+
+
+class Spreader(Protocol):
+    """Passes answers of the store on to peers."""
+
+    def spread(self, update: Update, previous: RouteTable | None) -> None:
+        """Tell all peers of an answer of the store."""
+
+
+class CatalogReader:
+    """Applies what the store and peers tell, and reads where it is due.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of monotonic time.
+    catalog : Catalog
+        The routes and servers in force.
+    duty : ReadingDuty
+        Decides when to read.
+    evidence : EvidenceBook
+        Evidence on servers; dropped where a server is no longer listed.
+    journal : Journal
+        Log lines and counts.
+    source : Source
+        The store.
+
+    Attributes
+    ----------
+    peering : Spreader or None
+        Messages between hosts; None until they are loaded.
+    """
+
+    __slots__ = (
+        "catalog",
+        "clock",
+        "duty",
+        "evidence",
+        "journal",
+        "peering",
+        "source",
+    )
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        catalog: Catalog,
+        duty: ReadingDuty,
+        evidence: EvidenceBook,
+        journal: Journal,
+        source: Source,
+    ):
+        self.clock = clock
+        self.catalog = catalog
+        self.duty = duty
+        self.evidence = evidence
+        self.journal = journal
+        self.source = source
+        self.peering: Spreader | None = None
+
+    def note_changes(self, changes: list[tuple[str, Any]]) -> None:
+        """Log what changed of servers, and drop evidence on those that left."""
+        for change, server in changes:
+            if change == "removed":
+                self.evidence.forget(server.server_id)
+            self.journal.event(
+                f"server_{change}",
+                server=server.server_id,
+                service=server.service,
+                address=":".join(map(str, server.address)),
+                draining=server.is_draining,
+                revision=server.revision,
+                at_revision=self.catalog.revision,
+            )
+
+    async def run(self) -> None:
+        """Load the catalog, then read whenever that is due."""
+        await self._load_first()
+        while True:
+            now = self.clock.monotonic()
+            delay = self.duty.delay(self.catalog.confirmed_at, now)
+            if delay > 0:
+                await trio.sleep(min(delay, CHECK_SECONDS))
+            else:
+                await self._read()
+
+    async def _load_first(self) -> None:
+        while not self.catalog.is_complete:
+            started = self.clock.monotonic()
+            try:
+                self._apply(await self.source.load(may_be_stale=True))
+            except SourceError as error:
+                self.journal.event("load_failed", reason=error.reason, detail=error)
+                await trio.sleep(LOAD_RETRY_SECONDS)
+            else:
+                seconds = round(self.clock.monotonic() - started, 3)
+                self._log_loaded(seconds, may_be_stale=True)
+        # A stale copy counts as current until the usual age, so that all hosts
+        # that start together leave the first fresh read to one of them.
+        self.catalog.confirm(self.clock.monotonic())
+
+    async def _read(self) -> None:
+        was_reading = self.duty.is_reading
+        try:
+            if self.duty.is_reload_due(self.clock.monotonic()):
+                await self._reload()
+            else:
+                await self._watch()
+        except SourceError as error:
+            self._note_failure(error, was_reading)
+            return
+        if not was_reading:
+            self.journal.event("reading_started", position=self.duty.position)
+
+    async def _watch(self) -> None:
+        revision = self.catalog.revision
+        update = await self.source.watch(revision, self.duty.watch_seconds)
+        # Without events nothing was new when the watch was answered.
+        self._take(update, self.clock.monotonic())
+
+    async def _reload(self) -> None:
+        started = self.clock.monotonic()
+        update = await self.source.load(may_be_stale=False)
+        now = self.clock.monotonic()
+        self.duty.note_reload(now)
+        self._take(update, started)
+        self._log_loaded(round(now - started, 3), may_be_stale=False)
+
+    def _note_failure(self, error: SourceError, was_reading: bool) -> None:
+        now = self.clock.monotonic()
+        self.duty.note_failure(now, error.reason)
+        self.journal.event(
+            "read_failed",
+            reason=error.reason,
+            detail=error,
+            was_reading=was_reading,
+            age_ms=round(1000 * self.catalog.age(now)),
+        )
+
+    def _take(self, update: Update, confirmed_at: float) -> None:
+        previous = self.catalog.routes
+        self._apply(update)
+        self.catalog.confirm(confirmed_at)
+        self.duty.note_answer(not update.is_empty, self.clock.monotonic())
+        if self.peering is not None:
+            self.peering.spread(update, previous)
+
+    def _apply(self, update: Update) -> None:
+        version = self._version()
+        changes = self.catalog.apply(update, self.clock.monotonic())
+        self.note_changes(changes)
+        if self._version() != version:
+            self.journal.event(
+                "version_in_force",
+                version=self._version(),
+                previous=version,
+                revision=update.revision,
+            )
+
+    def _version(self) -> int:
+        routes: RouteTable | None = self.catalog.routes
+        return routes.version if routes else 0
+
+    def _log_loaded(self, seconds: float, may_be_stale: bool) -> None:
+        self.journal.event(
+            "catalog_loaded",
+            seconds=seconds,
+            stale=may_be_stale,
+            revision=self.catalog.revision,
+            version=self._version(),
+            servers=len(self.catalog.servers_by_id),
+        )
--- a/hornbeamdeal/platform/_assembly.py
+++ b/hornbeamdeal/platform/_assembly.py
@@ -64,17 +64,24 @@
     journal: Journal,
 ) -> "Node":
     """Build the node without its peers, which are loaded later."""
-    from hornbeamdeal.dsr import Node
+    from hornbeamdeal.dsr import CatalogReader, Node
     from hornbeamdeal.wire import HttpClient
 
     client = HttpClient(endpoint=settings.store, connect_timeout=STORE_CONNECT_SECONDS)
-    return Node(
+    reader = CatalogReader(
         clock=clock,
+        catalog=forwarder.catalog,
         duty=ReadingDuty(random_state=random.getrandbits(32)),
+        evidence=forwarder.evidence,
+        journal=journal,
+        source=StoreSource(client=client, journal=journal),
+    )
+    return Node(
+        clock=clock,
         forwarder=forwarder,
         journal=journal,
         packet_socket=packet_socket,
-        source=StoreSource(client=client, journal=journal),
+        reader=reader,
     )
 
 
@@ -99,7 +106,7 @@
             seeds=[seed for seed in seeds if seed != listen],
             random_state=random.getrandbits(32),
         ),
-        on_changes=node.note_changes,
+        on_changes=node.reader.note_changes,
     )
     codec = PeerCodec(
         host_id=settings.host_id,
--- a/hornbeamdeal/platform/_service.py
+++ b/hornbeamdeal/platform/_service.py
@@ -91,6 +91,7 @@
         await trio.sleep(CATALOG_CHECK_SECONDS)
     from ._assembly import make_peering
 
-    node.peering = make_peering(settings, node)
+    peering = make_peering(settings, node)
     importer.remove()
-    await node.peering.run()
+    node.reader.peering = peering
+    await peering.run()
--- /dev/null
+++ b/tests/dsr/evidence.feature
@@ -0,0 +1,93 @@
+Feature: evidence on servers that answer callers directly
+
+  Scenario: a server that leaves openings unanswered gets no new flows
+    Given evidence on a server that was alive 1 s ago
+    When openings of callers a,b get no answer
+    Then the server is out
+
+  Scenario: one unanswered opening is not enough
+    Guards against taking a server out for a lost datagram.
+    Given evidence on a server that was alive 1 s ago
+    When openings of callers a get no answer
+    Then the server is not out
+
+  Scenario: progress after an opening was sent refutes it
+    Given evidence on a server that was alive 1 s ago
+    When openings of callers a,b get no answer
+    And the server makes progress
+    Then the server is not out
+
+  Scenario: openings sent before the last progress say nothing
+    Guards against signs that arrive late from a slow host.
+    Given evidence on a server that was alive 0 s ago
+    When callers a,b find openings that they sent 0.5 s ago unanswered
+    Then the server is not out
+
+  Scenario: a server that is silent for callers of several hosts is dead
+    Given evidence on a server that was alive 1 s ago
+    When openings of callers a,b get no answer
+    And a peer sees data of caller c repeated 1 time
+    Then the server is dead after 0.4 s
+
+  Scenario: signs of one caller don't make a server dead
+    Guards against resets where one caller's own link fails.
+    Given evidence on a server that was alive 1 s ago
+    When openings of callers a,a,a,a get no answer
+    Then the server is not dead after 0.4 s
+
+  Scenario: work that takes long does not make a server dead
+    Guards against resets of flows whose request runs longer than the caller's
+    timer for repetitions.
+    Given evidence on a server that was alive 1 s ago
+    When data of callers a,b,c,d is repeated 1 time
+    Then the server is not dead after 5 s
+
+  Scenario: flows that stall at several callers make a server dead
+    Given evidence on a server that was alive 1 s ago
+    When data of callers a,b is repeated 2 times
+    Then the server is not dead after 0.7 s
+    And the server is dead after 0.9 s
+
+  Scenario: progress that a peer saw brings a server back
+    Given evidence on a server that was alive 1 s ago
+    When openings of callers a,b,c get no answer
+    Then the server is dead after 0.4 s
+    When the server makes progress
+    Then the server is not dead after 0.4 s
+    And the server is not out
+
+  Scenario: a server that is out is tried again by one flow at a time
+    Guards against a rush of flows on a server that may still be gone.
+    Given evidence on a server that was alive 1 s ago
+    When openings of callers a,b get no answer
+    Then one flow in 2 s tries the server again
+
+  Scenario: flows of a dead server are reset with their next data
+    Given a dsr host that knows servers 1,2,3
+    When a server answers the flow that caller 100.64.0.1:1000 opens
+    And 1000 ms pass
+    And peers report that the flow's server leaves openings of 3 callers unanswered
+    And 400 ms pass
+    And the caller sends data
+    Then the caller gets a reset near its last acknowledgement
+
+  Scenario: acknowledgements alone on flows of a dead server are not reset
+    Given a dsr host that knows servers 1,2,3
+    When a server answers the flow that caller 100.64.0.1:1000 opens
+    And 1000 ms pass
+    And peers report that the flow's server leaves openings of 3 callers unanswered
+    And 400 ms pass
+    And the caller sends an acknowledgement without data
+    Then the data goes to the flow's server
+
+  Scenario Outline: a living server is never reset, whatever is lost on the way
+    Guards against resets that the flow's server did not send. The server answers
+    each packet that reaches it; packets and answers are lost at random, work
+    takes up to 500 ms, and hosts tell each other of signs with a delay.
+    Then in 20 runs with <hosts> hosts and <loss> of packets lost no flow is reset
+
+    Examples:
+      | hosts | loss  |
+      | 1     | 0.002 |
+      | 3     | 0.002 |
+      | 3     | 0.01  |
--- /dev/null
+++ b/tests/dsr/forwarding.feature
@@ -0,0 +1,125 @@
+Feature: forwarding of callers' packets
+
+  Scenario: an opening packet goes to a server and carries its handle
+    Given a dsr host that knows servers 1,2,3
+    When caller 100.64.0.1:1000 opens a flow
+    Then the datagram goes to the server that its handle and number name
+    And the packet differs from the caller's only in the handle
+
+  Scenario: any host finds the server of a packet without a record
+    Guards against flows that break when the routers choose another host.
+    Given a dsr host that knows servers 1,2,3
+    And another dsr host with the same catalog
+    When a server answers the flow that caller 100.64.0.1:1000 opens
+    And the caller sends data through the other host
+    Then the other host sends it to the flow's server unchanged
+
+  Scenario: a repeated opening packet goes to another server
+    Given a dsr host that knows servers 1,2,3
+    When caller 100.64.0.1:1000 opens a flow
+    And 200 ms pass
+    And the caller repeats its opening packet
+    Then the two datagrams went to two servers
+    And one opening without an answer is noted
+
+  Scenario: packets that waited together are no evidence
+    Guards against a host that was frozen taking servers for dead as it wakes.
+    Given a dsr host that knows servers 1,2,3
+    When caller 100.64.0.1:1000 opens a flow
+    And the caller repeats its opening packet
+    Then the two datagrams went to one server
+    And no opening without an answer is noted
+
+  Scenario: an opening packet that the network doubled stays with its server
+    Given a dsr host that knows servers 1,2,3
+    When caller 100.64.0.1:1000 opens a flow
+    And caller 100.64.0.1:1000 opens a flow
+    Then the two datagrams went to one server
+
+  Scenario: an address without a route is refused at once while the catalog is fresh
+    Given a dsr host that knows servers 1,2,3
+    When a flow to port 444 is opened by caller 100.64.0.1:1000
+    Then the caller gets a reset
+
+  Scenario: an address without a route is not refused on old knowledge
+    Guards against refusing a route that was added while the store was not heard.
+    Given a dsr host that knows servers 1,2,3
+    When 2100 ms pass
+    And a flow to port 444 is opened by caller 100.64.0.1:1000
+    Then nothing is sent
+
+  Scenario: a service without servers is refused at once
+    Given a dsr host that knows no servers
+    When caller 100.64.0.1:1000 opens a flow
+    Then the caller gets a reset
+
+  Scenario: nothing is refused before the catalog is known
+    Given a dsr host without a catalog
+    When caller 100.64.0.1:1000 opens a flow
+    Then nothing is sent
+
+  Scenario: a draining server keeps its flows and gets no new ones
+    Given a dsr host that knows servers 1,2,3
+    When a server answers the flow that caller 100.64.0.1:1000 opens
+    And the flow's server is draining
+    And the caller sends data
+    Then the data goes to the flow's server
+    And none of 50 new flows goes to that server
+
+  Scenario: flows of a server whose entry lapsed go on
+    Guards against resets of living flows after an outage of the store.
+    Given a dsr host that knows servers 1,2,3
+    When a server answers the flow that caller 100.64.0.1:1000 opens
+    And the flow's server is removed
+    And 2500 ms pass
+    And the store is heard again
+    And the caller sends data
+    Then the data goes to the flow's server
+
+  Scenario: flows of a server that is gone are reset
+    Given a dsr host that knows servers 1,2,3
+    When a server answers the flow that caller 100.64.0.1:1000 opens
+    And the flow's server is removed
+    And 3100 ms pass
+    And the store is heard again
+    And the caller sends data
+    Then the caller gets a reset near its last acknowledgement
+
+  Scenario: an outage of the store proves nothing about a missing entry
+    Given a dsr host that knows servers 1,2,3
+    When a server answers the flow that caller 100.64.0.1:1000 opens
+    And the flow's server is removed
+    And 9000 ms pass
+    And the caller sends data
+    Then the data goes to the flow's server
+
+  Scenario: a handle that nobody knows is dropped
+    Given a dsr host that knows servers 1,2,3
+    When the caller 100.64.0.1:1000 sends data with handle 12345
+    Then nothing is sent
+
+  Scenario: of two servers with one handle only one gets new flows
+    Guards against packets of a flow that reach a server which resets them.
+    Given a dsr host that knows two servers with one handle
+    Then all of 20 new flows go to the first of them
+
+  Scenario Outline: malformed packets are dropped and counted
+    Given a dsr host that knows servers 1,2,3
+    When a packet that is <fault> arrives
+    Then nothing is sent
+    And it is counted as malformed
+
+    Examples:
+      | fault        |
+      | empty        |
+      | short        |
+      | of more data |
+
+  Scenario: new flows stay in the zone until its servers have much more
+    Given a dsr host in zone z1 that knows servers 1,2 of z1 and 3 of z2
+    Then 8 new flows all go to servers of zone z1
+    And some of 60 new flows go to zone z2
+
+  Scenario: new flows are spread evenly over a zone's servers
+    Given a dsr host that knows servers 1,2,3
+    Then 30 new flows within a second differ by at most one between servers
--- /dev/null
+++ b/tests/fakes/dsr_fleet_world.py
@@ -0,0 +1,297 @@
+"""Several hosts that read one store and tell each other, on virtual time."""
+
+import random
+
+import trio
+from trio.testing import MockClock
+
+from hornbeamdeal.dsr import (
+    Catalog,
+    CatalogReader,
+    EvidenceBook,
+    Fleet,
+    ReadingDuty,
+    SourceError,
+    Update,
+)
+from hornbeamdeal.kernel import Endpoint, EntryHost, PeerReceived, SendPeer
+from hornbeamdeal.membership import Membership
+
+from .dsr_world import RecordingJournal, make_routes, make_server
+
+TICK_SECONDS = 0.1
+PEER_PORT = 7720
+PEER_DELAY_SECONDS = 0.001
+ANSWER_SECONDS = 0.004
+# How long a request waits for a store that says nothing.
+SILENT_TIMEOUT_SECONDS = 0.7
+WATCH_MARGIN_SECONDS = 0.5
+START_SPREAD_SECONDS = 0.3
+
+
+class TrioClock:
+    """Clock of the virtual time."""
+
+    def monotonic(self):
+        return trio.current_time()
+
+
+class FakeStore:
+    """Revisions of routes and servers, with the ways in which a store fails."""
+
+    def __init__(self):
+        self.revision = 1
+        self.changes = []
+        self.servers_by_id = {}
+        self.routes = make_routes(1)
+        self.calls = []
+        self.refused_hosts = set()
+        self.is_down = False
+        self.is_deaf = False
+        self.silent_hosts = set()
+        self.oldest = 0
+        self.changed = trio.Event()
+        self.cut = trio.Event()
+
+    def put(self, server=None, routes=None, removed=None):
+        """Write one change."""
+        self.revision += 1
+        if server is not None:
+            server.revision = self.revision
+            self.servers_by_id[server.server_id] = server
+        if removed is not None:
+            del self.servers_by_id[removed]
+        if routes is not None:
+            self.routes = routes
+        self.changes.append((self.revision, server, routes, removed))
+        self.changed.set()
+        self.changed = trio.Event()
+
+    def compact(self):
+        """Drop the history and cut all watches."""
+        self.oldest = self.revision
+        self.is_deaf = False
+        self.cut.set()
+        self.cut = trio.Event()
+
+    def calls_between(self, start, end):
+        """Count the calls of a time span."""
+        return sum(start <= at < end for at, _ in self.calls)
+
+
+class FakeSource:
+    """The store as one host sees it."""
+
+    def __init__(self, store, host_id):
+        self.store = store
+        self.host_id = host_id
+
+    async def load(self, may_be_stale):
+        await self._call("load")
+        store = self.store
+        return Update(
+            base_revision=None,
+            revision=store.revision,
+            servers=list(store.servers_by_id.values()),
+            routes=store.routes,
+        )
+
+    async def watch(self, after_revision, wait_seconds):
+        await self._call("watch")
+        store = self.store
+        if after_revision < store.oldest:
+            raise SourceError("compacted", "history is gone")
+        with trio.move_on_after(wait_seconds):
+            while store.revision == after_revision or store.is_deaf:
+                await self._wait()
+        if self.host_id in store.silent_hosts:
+            await trio.sleep(WATCH_MARGIN_SECONDS)
+            raise SourceError("lost", "no answer")
+        return self._changes(after_revision)
+
+    async def _wait(self):
+        cut, changed = self.store.cut, self.store.changed
+        async with trio.open_nursery() as nursery:
+
+            async def wait(event):
+                await event.wait()
+                nursery.cancel_scope.cancel()
+
+            nursery.start_soon(wait, cut)
+            nursery.start_soon(wait, changed)
+        if cut.is_set():
+            raise SourceError("lost", "the watch was cut")
+
+    def _changes(self, after_revision):
+        store = self.store
+        # A deaf store answers with its present revision but without events.
+        update = Update(
+            base_revision=after_revision, revision=store.revision, servers=[]
+        )
+        if store.is_deaf:
+            return update
+        for revision, server, routes, removed in store.changes:
+            if revision <= after_revision:
+                continue
+            if server is not None:
+                update.servers.append(server)
+            if removed is not None:
+                update.removed[removed] = revision
+            update.routes = routes or update.routes
+        return update
+
+    async def _call(self, kind):
+        self.store.calls.append((trio.current_time(), self.host_id))
+        await trio.sleep(ANSWER_SECONDS)
+        if self.store.is_down:
+            await trio.sleep(SILENT_TIMEOUT_SECONDS)
+            raise SourceError("lost", "no answer")
+        if self.host_id in self.store.refused_hosts:
+            raise SourceError("unavailable", f"{kind}: status 503")
+
+
+class FleetHost:
+    """One host: catalog, reader and messages."""
+
+    def __init__(self, world, index, zone):
+        self.world = world
+        self.host_id = f"host-{index:03d}"
+        self.endpoint = Endpoint(f"10.0.{index // 200}.{index % 200 + 1}", PEER_PORT)
+        clock = TrioClock()
+        self.journal = RecordingJournal()
+        self.catalog = Catalog()
+        self.evidence = EvidenceBook()
+        self.duty = ReadingDuty(random_state=index)
+        self.versions_at = {}
+        self.is_alive = True
+        self.scope = trio.CancelScope()
+        seeds = [Endpoint("10.0.0.1", PEER_PORT), Endpoint("10.0.0.2", PEER_PORT)]
+        self.fleet = Fleet(
+            catalog=self.catalog,
+            duty=self.duty,
+            evidence=self.evidence,
+            journal=self.journal,
+            membership=Membership(
+                own=EntryHost(self.host_id, index + 1, self.endpoint, zone),
+                seeds=[seed for seed in seeds if seed != self.endpoint],
+                random_state=index,
+            ),
+            on_changes=lambda changes: None,
+            random_state=index,
+        )
+        self.reader = CatalogReader(
+            clock=clock,
+            catalog=self.catalog,
+            duty=self.duty,
+            evidence=self.evidence,
+            journal=self.journal,
+            source=FakeSource(world.store, self.host_id),
+        )
+        self.reader.peering = self
+
+    async def run(self):
+        """Read and talk until killed."""
+        with self.scope:
+            await trio.sleep(self.world.random.uniform(0, START_SPREAD_SECONDS))
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.reader.run)
+                while True:
+                    self.carry_out(self.fleet.tick(trio.current_time()))
+                    self._note_version()
+                    await trio.sleep(TICK_SECONDS)
+
+    def kill(self):
+        """End the host without a word."""
+        self.is_alive = False
+        self.scope.cancel()
+
+    def spread(self, update, previous):
+        """Pass an answer of the store on; the reader calls this."""
+        self.carry_out(self.fleet.spread(update, previous, trio.current_time()))
+        self._note_version()
+
+    def carry_out(self, actions):
+        """Send messages to peers."""
+        for action in actions:
+            if isinstance(action, SendPeer):
+                self.world.send(self, action)
+
+    def receive(self, sender, message):
+        """Take a peer's message."""
+        if not self.is_alive:
+            return
+        event = PeerReceived(
+            sender.host_id,
+            sender.fleet.membership.own.incarnation,
+            sender.endpoint,
+            message,
+        )
+        self.carry_out(self.fleet.handle(event, trio.current_time()))
+        self._note_version()
+
+    def _note_version(self):
+        routes = self.catalog.routes
+        if routes is not None:
+            self.versions_at.setdefault(routes.version, trio.current_time())
+
+
+class FleetWorld:
+    """Plays some hosts in zones for some seconds of virtual time."""
+
+    def __init__(self, *, hosts, zones=3, loss=0.0, random_state=0):
+        self.host_count = hosts
+        self.zone_count = zones
+        self.loss = loss
+        self.random = random.Random(random_state)
+        self.cut_zones = set()
+
+    def play(self, script, seconds):
+        """Run all hosts beside a script; return when the time is over."""
+
+        async def main():
+            self.store = FakeStore()
+            for number in range(1, 10):
+                self.store.put(make_server(number))
+            self.hosts = [
+                FleetHost(self, i, f"z{i % self.zone_count}")
+                for i in range(self.host_count)
+            ]
+            self.hosts_by_endpoint = {host.endpoint: host for host in self.hosts}
+            with trio.move_on_after(seconds):
+                async with trio.open_nursery() as self.nursery:
+                    for host in self.hosts:
+                        self.nursery.start_soon(host.run)
+                    await script(self)
+                    await trio.sleep_forever()
+
+        trio.run(main, clock=MockClock(autojump_threshold=0))
+
+    def send(self, sender, action):
+        """Carry a message, or lose it."""
+        target = self.hosts_by_endpoint.get(action.endpoint)
+        if target is None or self._is_cut(sender, target):
+            return
+        if not action.bulk and self.random.random() < self.loss:
+            return
+        self.nursery.start_soon(self._deliver, sender, target, action.message)
+
+    async def _deliver(self, sender, target, message):
+        await trio.sleep(PEER_DELAY_SECONDS)
+        target.receive(sender, message)
+
+    def _is_cut(self, sender, target):
+        zones = [h.fleet.membership.own.zone for h in (sender, target)]
+        return zones[0] != zones[1] and not self.cut_zones.isdisjoint(zones)
+
+    def readers(self):
+        """Return the hosts that read now."""
+        return [host for host in self.hosts if host.is_alive and host.duty.is_reading]
+
+    def slowest(self, version, since):
+        """Return the seconds until the last living host had a version in force."""
+        alive = [host for host in self.hosts if host.is_alive]
+        return max(
+            min((at for v, at in host.versions_at.items() if v >= version), default=1e9)
+            - since
+            for host in alive
+        )
--- /dev/null
+++ b/tests/fakes/dsr_lossy_world.py
@@ -0,0 +1,197 @@
+"""Callers and living servers on links that lose packets, without a network."""
+
+import heapq
+import random
+
+from hornbeamdeal.dsr import Sign
+from hornbeamdeal.kernel import ManualClock
+
+from .dsr_world import (
+    FLAG_ACK,
+    FLAG_SYN,
+    SERVER_SEQUENCE,
+    Host,
+    handle_in,
+    is_reset,
+    make_packet,
+    make_routes,
+    make_server,
+)
+
+SERVERS = 4
+CALLERS = 12
+ONE_WAY_SECONDS = 0.003
+PEER_DELAY_SECONDS = 0.1
+OPENING_REPEATS = (0.2, 0.6)
+DATA_REPEATS = (0.2, 0.6, 1.4)
+DEADLINE_SECONDS = 1.5
+PAUSE_SECONDS = 0.15
+# A request in so many works for up to half a second.
+LONG_WORK_SHARE = 0.05
+REQUEST_BYTES = 100
+
+
+class LossyWorld:
+    """Plays callers that open flows and send requests to servers that live."""
+
+    def __init__(self, *, hosts, loss, random_state):
+        self.clock = ManualClock(10.0)
+        self.loss = loss
+        self.random = random.Random(random_state)
+        self.hosts = [Host(self.clock, random_state=i) for i in range(hosts)]
+        servers = [make_server(i + 1) for i in range(SERVERS)]
+        for host in self.hosts:
+            host.learn(servers, make_routes())
+        self.answered = self.resets = 0
+        self._queue = []
+        self._order = 0
+
+    def run(self, seconds):
+        """Play for some seconds."""
+        for index in range(CALLERS):
+            self.after(self.random.random(), lambda i=index: Session(self, i).open())
+        self.after(PEER_DELAY_SECONDS, self._tell_peers)
+        end = self.clock.monotonic() + seconds
+        while self._queue and self._queue[0][0] < end:
+            at, _, action = heapq.heappop(self._queue)
+            self.clock.seconds = at
+            action()
+
+    def after(self, seconds, action):
+        """Do something later."""
+        self._order += 1
+        at = self.clock.monotonic() + seconds
+        heapq.heappush(self._queue, (at, self._order, action))
+
+    def is_lost(self):
+        """Draw whether a packet is lost."""
+        return self.random.random() < self.loss
+
+    def _tell_peers(self):
+        for sender in self.hosts:
+            for server_id, sign in sender.evidence.take_unsent():
+                for host in self.hosts:
+                    if host is not sender:
+                        self._tell(host, server_id, sign)
+        self.after(PEER_DELAY_SECONDS, self._tell_peers)
+
+    def _tell(self, host, server_id, sign):
+        told = Sign(sign.sent_at, sign.caller, sign.repetitions, "peer")
+        host.evidence.note_sign(server_id, told, self.clock.monotonic())
+
+
+class Session:
+    """One caller: opens a flow, sends requests, opens the next."""
+
+    def __init__(self, world, index, port=1000):
+        self.world = world
+        self.index = index
+        self.caller = f"100.64.0.{index + 1}:{port}"
+        self.port = port
+        self.host = world.hosts[(index + port) % len(world.hosts)]
+        self.handle = None
+        self.sequence = 1
+        self.ack = SERVER_SEQUENCE
+        self.is_done = False
+
+    def open(self):
+        """Send the opening packet and its copies."""
+        for copy, delay in enumerate((0.0, *OPENING_REPEATS)):
+            self.world.after(delay, lambda c=copy: self._open(c))
+        self.world.after(DEADLINE_SECONDS, self._give_up_opening)
+
+    def _open(self, copy):
+        if self.handle is None:
+            packet = make_packet(self.caller, FLAG_SYN, sequence=0, ack=copy)
+            self._pass(packet, self._answer_opening)
+
+    def _pass(self, packet, answer):
+        """Carry a packet to the host and on to the server, or lose it."""
+        if self.world.is_lost():
+            return
+        for data, _ in self.host.receive(packet):
+            if is_reset(data):
+                self.world.resets += 1
+            elif not self.world.is_lost() and not self.world.is_lost():
+                self.world.after(ONE_WAY_SECONDS, lambda d=data: answer(d))
+
+    def _answer_opening(self, data):
+        if self.handle is not None:
+            return
+        self.handle = handle_in(data)
+        packet = make_packet(
+            self.caller, FLAG_ACK, sequence=1, ack=self.ack, echo=self.handle
+        )
+        self._pass(packet, lambda data: None)
+        self.request()
+
+    def request(self):
+        """Send one request, repeated until the server acknowledges it."""
+        work = self.world.random.expovariate(1 / 0.03)
+        if self.world.random.random() < LONG_WORK_SHARE:
+            work = self.world.random.uniform(0.2, 0.5)
+        state = {"acknowledged": False, "answered": False, "work": work}
+        for delay in (0.0, *DATA_REPEATS):
+            self.world.after(delay, lambda s=state: self._send(s))
+        self.world.after(DEADLINE_SECONDS, lambda s=state: self._check(s))
+
+    def _send(self, state):
+        if state["acknowledged"] or state["answered"]:
+            return
+        packet = make_packet(
+            self.caller,
+            FLAG_ACK,
+            sequence=self.sequence,
+            ack=self.ack,
+            echo=self.handle,
+            data=b"r" * REQUEST_BYTES,
+        )
+        self._pass(packet, lambda data: self._reach_server(state))
+
+    def _reach_server(self, state):
+        # Every second packet is acknowledged: the first one of a request only
+        # with its answer, a repetition at once.
+        if "reached" in state:
+            state["acknowledged"] = True
+            return
+        state["reached"] = True
+        self.world.after(state["work"], lambda: self._answer(state))
+
+    def _answer(self, state):
+        if self.world.is_lost():
+            self.world.after(0.2, lambda: self._answer(state))
+            return
+        if state["answered"]:
+            return
+        state["answered"] = True
+        self.world.answered += 1
+        self.sequence += REQUEST_BYTES
+        self.ack += 2000
+        packet = make_packet(
+            self.caller,
+            FLAG_ACK,
+            sequence=self.sequence,
+            ack=self.ack,
+            echo=self.handle,
+        )
+        self._pass(packet, lambda data: None)
+        self.world.after(self.world.random.uniform(0, PAUSE_SECONDS), self._go_on)
+
+    def _go_on(self):
+        if self.world.random.random() < 0.3:
+            self._open_next()
+        else:
+            self.request()
+
+    def _check(self, state):
+        if not state["answered"] and not self.is_done:
+            self._open_next()
+
+    def _give_up_opening(self):
+        if self.handle is None:
+            self._open_next()
+
+    def _open_next(self):
+        if not self.is_done:
+            self.is_done = True
+            Session(self.world, self.index, self.port + 1).open()
--- /dev/null
+++ b/tests/fakes/dsr_world.py
@@ -0,0 +1,163 @@
+"""One host of direct server return on a manual clock, with callers' packets."""
+
+from hornbeamdeal.dsr import (
+    Catalog,
+    EvidenceBook,
+    FlowTable,
+    Forwarder,
+    Route,
+    RouteTable,
+    Server,
+    Update,
+    make_placement,
+)
+from hornbeamdeal.kernel import ManualClock
+from hornbeamdeal.platform._packets import EchoPacketCodec, encode_end
+
+CALLER_PORT = 8172
+SERVICE_IP, SERVICE_PORT = "198.18.0.1", 443
+SERVICE, ZONE = "reservas", "z1"
+FLAG_SYN, FLAG_ACK, FLAG_FIN, FLAG_RST = 128, 4, 64, 2
+HEADER_BYTES = 32
+SERVER_SEQUENCE = 7_000
+
+
+class RecordingJournal:
+    """Keeps events and counts."""
+
+    def __init__(self):
+        self.events = []
+        self.counts = {}
+
+    def event(self, name, **fields):
+        self.events.append((name, fields))
+
+    def count(self, name, reason="", amount=1):
+        self.counts[name, reason] = self.counts.get((name, reason), 0) + amount
+
+    def observe(self, name, seconds):
+        self.counts[name, "seconds"] = seconds
+
+
+def make_packet(
+    caller, flags, *, sequence=0, ack=0, echo=0, data=b"", port=SERVICE_PORT
+):
+    """Return a caller's packet; `caller` is `ip:port`."""
+    ip, _, caller_port = caller.partition(":")
+    head = sequence.to_bytes(4, "little") + ack.to_bytes(4, "little")
+    head += b"\xaa\xbb\xcc\xdd" + echo.to_bytes(4, "little")
+    head += encode_end(ip, int(caller_port)) + encode_end(SERVICE_IP, port)
+    return head + bytes([flags, 0]) + len(data).to_bytes(2, "little") + data
+
+
+def make_server(name, *, zone=ZONE, draining=False, revision=1, service=SERVICE):
+    """Return a server whose identifier and address follow from its number."""
+    number = int(name)
+    return Server(
+        server_id=f"i-{number:010x}",
+        number=number.to_bytes(8, "big"),
+        service=service,
+        address=(f"10.1.0.{number}", 8000),
+        zone=zone,
+        slots=3,
+        is_draining=draining,
+        revision=revision,
+    )
+
+
+def make_routes(version=1, ports=(SERVICE_PORT,), service=SERVICE, idle_timeout=15.0):
+    """Return routes of one service at some ports."""
+    routes = [
+        Route(
+            address_key=encode_end(SERVICE_IP, port),
+            name=f"r-{port}",
+            weights_by_service={service: 1.0},
+        )
+        for port in ports
+    ]
+    return RouteTable(
+        version=version,
+        routes_by_key={route.address_key: route for route in routes},
+        idle_timeout=idle_timeout,
+    )
+
+
+class Host:
+    """A forwarder whose sent datagrams are kept."""
+
+    def __init__(self, clock=None, zone=ZONE, random_state=1):
+        self.clock = clock or ManualClock(100.0)
+        self.journal = RecordingJournal()
+        self.catalog = Catalog()
+        self.evidence = EvidenceBook()
+        self.sent = []
+        self.forwarder = Forwarder(
+            catalog=self.catalog,
+            codec=EchoPacketCodec(caller_port=CALLER_PORT),
+            evidence=self.evidence,
+            flows=FlowTable(),
+            journal=self.journal,
+            placement=make_placement(
+                "fewest_placed", zone=zone, random_state=random_state
+            ),
+            transmit=lambda data, address: self.sent.append((data, address)),
+            random_state=random_state,
+        )
+
+    def learn(self, servers=(), routes=None, revision=1, base=None, removed=None):
+        """Apply an update and count it as current."""
+        now = self.clock.monotonic()
+        update = Update(
+            base_revision=base,
+            revision=revision,
+            servers=list(servers),
+            removed=removed,
+            routes=routes,
+        )
+        changes = self.catalog.apply(update, now)
+        self.catalog.confirm(now)
+        return changes
+
+    def receive(self, packet):
+        """Take a packet; return the datagrams that it caused."""
+        before = len(self.sent)
+        self.forwarder.receive(packet, self.clock.monotonic())
+        return self.sent[before:]
+
+    def open_flow(self, caller, **fields):
+        """Send an opening packet and return the datagrams that it caused."""
+        return self.receive(make_packet(caller, FLAG_SYN, **fields))
+
+    def establish(self, caller):
+        """Open a flow whose server answers; return the handle."""
+        data, _ = self.open_flow(caller)[-1]
+        handle = handle_in(data)
+        self.receive(make_packet(caller, FLAG_ACK, ack=SERVER_SEQUENCE, echo=handle))
+        return handle
+
+    def send_data(self, caller, handle, sequence=1, ack=SERVER_SEQUENCE, length=10):
+        """Send data on an open flow; return the datagrams that it caused."""
+        packet = make_packet(
+            caller,
+            FLAG_ACK,
+            sequence=sequence,
+            ack=ack,
+            echo=handle,
+            data=b"d" * length,
+        )
+        return self.receive(packet)
+
+
+def handle_in(datagram):
+    """Return the handle in a datagram to a server."""
+    return int.from_bytes(datagram[20:24], "little")
+
+
+def number_in(datagram):
+    """Return the number of the server that a datagram is meant for."""
+    return int.from_bytes(datagram[:8], "big")
+
+
+def is_reset(datagram):
+    """Tell whether a datagram is a reset of the system's own for a caller."""
+    return len(datagram) == HEADER_BYTES and datagram[28] == FLAG_RST
--- /dev/null
+++ b/tests/steps/dsr_evidence_steps.py
@@ -0,0 +1,108 @@
+"""Steps for evidence on servers."""
+
+from behave import given, then, when
+from fakes.dsr_lossy_world import LossyWorld
+from fakes.dsr_world import FLAG_ACK, SERVER_SEQUENCE, make_packet, make_server
+
+from hornbeamdeal.dsr import EvidenceBook, Sign
+
+SERVER = make_server(1)
+SENT_BEFORE_SECONDS = 0.2
+RUNS = 20
+
+
+@given("evidence on a server that was alive {seconds:g} s ago")
+def given_evidence(context, seconds):
+    context.book = EvidenceBook()
+    context.now = 100.0
+    context.book.note_progress(SERVER.server_id, context.now - seconds)
+
+
+def note(context, callers, sent_at, repetitions=0, host=""):
+    for caller in callers.split(","):
+        sign = Sign(sent_at, ord(caller), repetitions, host)
+        context.book.note_sign(SERVER.server_id, sign, context.now)
+
+
+@when("openings of callers {callers} get no answer")
+def when_openings(context, callers):
+    note(context, callers, context.now - SENT_BEFORE_SECONDS)
+
+
+@when("callers {callers} find openings that they sent {seconds:g} s ago unanswered")
+def when_old_openings(context, callers, seconds):
+    note(context, callers, context.now - seconds)
+
+
+@when("a peer sees data of caller {callers} repeated {count:d} time")
+def when_data_at_peer(context, callers, count):
+    note(context, callers, context.now - SENT_BEFORE_SECONDS, count, "peer")
+
+
+@when("data of callers {callers} is repeated {count:d} time")
+@when("data of callers {callers} is repeated {count:d} times")
+def when_data_repeated(context, callers, count):
+    note(context, callers, context.now - SENT_BEFORE_SECONDS, count)
+
+
+@when("the server makes progress")
+def when_progress(context):
+    context.book.note_progress(SERVER.server_id, context.now)
+
+
+@when("peers report that the flow's server leaves openings of 3 callers unanswered")
+def when_peers_report(context):
+    now = context.host.clock.monotonic()
+    for caller in range(3):
+        sign = Sign(now - SENT_BEFORE_SECONDS, caller, 0, "peer")
+        context.host.evidence.note_sign(context.server.server_id, sign, now)
+
+
+@when("the caller sends an acknowledgement without data")
+def when_acknowledgement(context):
+    packet = make_packet(
+        context.caller, FLAG_ACK, sequence=1, ack=SERVER_SEQUENCE, echo=context.handle
+    )
+    context.sent = context.host.receive(packet)
+
+
+@then("the server is out")
+def then_out(context):
+    assert context.book.is_out(SERVER.server_id)
+
+
+@then("the server is not out")
+def then_not_out(context):
+    assert not context.book.is_out(SERVER.server_id)
+
+
+@then("the server is dead after {seconds:g} s")
+def then_dead(context, seconds):
+    at = context.now - SENT_BEFORE_SECONDS + seconds
+    assert context.book.is_dead(SERVER.server_id, at)
+
+
+@then("the server is not dead after {seconds:g} s")
+def then_not_dead(context, seconds):
+    at = context.now - SENT_BEFORE_SECONDS + seconds
+    assert not context.book.is_dead(SERVER.server_id, at)
+
+
+@then("one flow in 2 s tries the server again")
+def then_trials(context):
+    tried = [
+        context.book.take_trial([SERVER], context.now + tenths / 10)
+        for tenths in range(1, 61)
+    ]
+    assert sum(server is SERVER for server in tried) == 3
+
+
+@then(
+    "in {runs:d} runs with {hosts:d} hosts and {loss:g} of packets lost no flow is reset"
+)
+def then_never_reset(context, runs, hosts, loss):
+    for seed in range(runs):
+        world = LossyWorld(hosts=hosts, loss=loss, random_state=seed)
+        world.run(seconds=30.0)
+        assert world.answered > 500, world.answered
+        assert world.resets == 0, f"seed {seed}: {world.resets} resets"
--- /dev/null
+++ b/tests/steps/dsr_fleet_steps.py
@@ -0,0 +1,227 @@
+"""Steps for hosts that read the store for each other."""
+
+import trio
+from behave import given, then
+from fakes.dsr_fleet_world import FleetWorld
+from fakes.dsr_world import make_routes, make_server
+
+PUBLISHED_AT = 10.0
+RUN_SECONDS = 20.0
+NEW_VERSION = 50
+
+
+def play(context, hosts, at_publication, *, seconds=RUN_SECONDS, loss=0.0):
+    """Do something at 10 s and publish a version in the same moment."""
+
+    async def script(world):
+        await trio.sleep(PUBLISHED_AT)
+        at_publication(world)
+        world.store.put(routes=make_routes(NEW_VERSION))
+
+    context.world = FleetWorld(hosts=hosts, loss=loss)
+    context.published_at = PUBLISHED_AT
+    context.world.play(script, seconds)
+
+
+@given("a fleet of {hosts:d} hosts that runs for {seconds:d} s")
+def given_calm(context, hosts, seconds):
+    async def script(world):
+        await trio.sleep(seconds - 0.5)
+        context.reading = world.readers()
+
+    context.world = FleetWorld(hosts=hosts)
+    context.end = seconds
+    context.world.play(script, seconds)
+
+
+@given("a fleet of {hosts:d} hosts in which a version is published at 10 s")
+def given_publication(context, hosts):
+    play(context, hosts, lambda world: None)
+
+
+@given(
+    "a fleet of {hosts:d} hosts that loses {loss:g} of messages in which a version is"
+    " published at 10 s"
+)
+def given_loss(context, hosts, loss):
+    play(context, hosts, lambda world: None, loss=loss)
+
+
+@given(
+    "a fleet of {hosts:d} hosts in which 40 versions are published from 10 s to 12 s"
+)
+def given_storm(context, hosts):
+    async def script(world):
+        await trio.sleep(PUBLISHED_AT)
+        for index in range(40):
+            world.store.put(routes=make_routes(NEW_VERSION - 39 + index))
+            context.published_at = trio.current_time()
+            await trio.sleep(0.05)
+
+    context.world = FleetWorld(hosts=hosts)
+    context.world.play(script, RUN_SECONDS)
+
+
+@given(
+    "a fleet of {hosts:d} hosts whose reader is killed at 10 s as a version is published"
+)
+def given_reader_killed(context, hosts):
+    def kill(world):
+        for host in world.readers():
+            host.kill()
+
+    play(context, hosts, kill)
+
+
+@given(
+    "a fleet of {hosts:d} hosts whose elected readers are killed at 10 s as a version"
+    " is published"
+)
+def given_all_readers_killed(context, hosts):
+    def kill(world):
+        for host in world.hosts:
+            if host.duty.is_stand_in:
+                host.kill()
+
+    play(context, hosts, kill)
+
+
+@given(
+    "a fleet of {hosts:d} hosts whose reader hears nothing from 10 s on as a version is"
+    " published"
+)
+def given_silent(context, hosts):
+    def silence(world):
+        world.store.silent_hosts = {host.host_id for host in world.readers()}
+
+    play(context, hosts, silence)
+
+
+@given(
+    "a fleet of {hosts:d} hosts whose reader is refused from 10 s on as a version is"
+    " published"
+)
+def given_refused(context, hosts):
+    def refuse(world):
+        world.store.refused_hosts = {host.host_id for host in world.readers()}
+        world.store.compact()
+
+    play(context, hosts, refuse)
+
+
+@given(
+    "a fleet of {hosts:d} hosts of which all but the last are refused from 10 s on as a"
+    " version is published"
+)
+def given_most_refused(context, hosts):
+    def refuse(world):
+        world.store.refused_hosts = {host.host_id for host in world.hosts[:-1]}
+        world.store.compact()
+
+    play(context, hosts, refuse)
+
+
+@given(
+    "a fleet of {hosts:d} hosts in which zone z1 is cut at 10 s as a version is"
+    " published"
+)
+def given_zone_cut(context, hosts):
+    play(context, hosts, lambda world: world.cut_zones.add("z1"))
+
+
+@given("a fleet of {hosts:d} hosts whose store is down from 10 s to 20 s")
+def given_outage(context, hosts):
+    async def script(world):
+        await trio.sleep(10)
+        world.store.is_down = True
+        world.store.compact()
+        await trio.sleep(10)
+        world.store.is_down = False
+        world.store.put(routes=make_routes(NEW_VERSION))
+
+    context.world = FleetWorld(hosts=hosts)
+    context.world.play(script, 30)
+
+
+@given(
+    "a fleet of {hosts:d} hosts whose store drops its history at 11 s after a second"
+    " without events"
+)
+def given_deaf(context, hosts):
+    async def script(world):
+        await trio.sleep(10)
+        world.store.is_deaf = True
+        await trio.sleep(0.2)
+        world.store.put(routes=make_routes(NEW_VERSION))
+        context.published_at = trio.current_time()
+        await trio.sleep(0.8)
+        world.store.compact()
+
+    context.world = FleetWorld(hosts=hosts)
+    context.world.play(script, RUN_SECONDS)
+
+
+@given(
+    "a fleet of {hosts:d} hosts whose reader is killed at 10 s as a server is drained"
+)
+def given_drained(context, hosts):
+    context.seen_at = {}
+
+    async def script(world):
+        await trio.sleep(PUBLISHED_AT)
+        for host in world.readers():
+            host.kill()
+        world.store.put(make_server(1, draining=True))
+        while True:
+            await trio.sleep(0.01)
+            for host in world.hosts:
+                server = host.catalog.servers_by_id[make_server(1).server_id]
+                if host.is_alive and server.is_draining:
+                    context.seen_at.setdefault(host.host_id, trio.current_time())
+
+    context.world = FleetWorld(hosts=hosts)
+    context.world.play(script, RUN_SECONDS)
+
+
+@then("the store gets at most {calls:d} calls a second from {start:d} s on")
+def then_calls_on(context, calls, start):
+    found = context.world.store.calls_between(start, context.end)
+    assert found <= calls * (context.end - start), found
+
+
+@then("the store gets at most {calls:d} calls a second from {start:d} s to {end:d} s")
+def then_call_rate(context, calls, start, end):
+    found = context.world.store.calls_between(start, end)
+    assert found <= calls * (end - start), found
+
+
+@then("the store gets at most {calls:d} calls from {start:d} s to {end:d} s")
+def then_calls(context, calls, start, end):
+    found = context.world.store.calls_between(start, end)
+    assert found <= calls, found
+
+
+@then("one host reads")
+def then_one_reads(context):
+    assert len(context.reading) == 1, [host.host_id for host in context.reading]
+
+
+@then("every host has it in force within {seconds:g} s")
+@then("every host has the last one in force within {seconds:g} s")
+@then("every host has the version of 10.2 s in force within {seconds:g} s")
+def then_in_force(context, seconds):
+    slowest = context.world.slowest(NEW_VERSION, context.published_at)
+    assert slowest <= seconds, slowest
+
+
+@then("a version published at 20 s is in force everywhere within {seconds:g} s")
+def then_after_outage(context, seconds):
+    slowest = context.world.slowest(NEW_VERSION, 20.0)
+    assert slowest <= seconds, slowest
+
+
+@then("every host knows that it is draining within {seconds:g} s")
+def then_draining(context, seconds):
+    alive = [host.host_id for host in context.world.hosts if host.is_alive]
+    slowest = max(context.seen_at.get(host_id, 1e9) for host_id in alive)
+    assert slowest - PUBLISHED_AT <= seconds, slowest - PUBLISHED_AT
--- /dev/null
+++ b/tests/steps/dsr_forwarding_steps.py
@@ -0,0 +1,248 @@
+"""Steps for the forwarding of callers' packets."""
+
+from collections import Counter
+
+from behave import given, then, when
+from fakes.dsr_world import (
+    FLAG_ACK,
+    FLAG_SYN,
+    HEADER_BYTES,
+    SERVER_SEQUENCE,
+    Host,
+    handle_in,
+    is_reset,
+    make_packet,
+    make_routes,
+    make_server,
+    number_in,
+)
+
+HANDLE_BYTES = slice(12, 16)
+
+
+def numbers(text):
+    return [int(part) for part in text.split(",")]
+
+
+@given("a dsr host that knows servers {names}")
+def given_host(context, names):
+    context.servers = [make_server(number) for number in numbers(names)]
+    context.host = Host()
+    context.host.learn(context.servers, make_routes())
+    context.revision = 1
+    context.sent = []
+
+
+@given("a dsr host that knows no servers")
+def given_host_without_servers(context):
+    context.host = Host()
+    context.host.learn([], make_routes())
+    context.sent = []
+
+
+@given("a dsr host without a catalog")
+def given_host_without_catalog(context):
+    context.host = Host()
+    context.sent = []
+
+
+@given("another dsr host with the same catalog")
+def given_other_host(context):
+    context.other = Host(context.host.clock, random_state=2)
+    context.other.learn(context.servers, make_routes())
+
+
+@given("a dsr host that knows two servers with one handle")
+def given_collision(context):
+    context.servers = [make_server(1), make_server(2)]
+    context.servers[1].handle = context.servers[0].handle
+    context.host = Host()
+    context.host.learn(context.servers, make_routes())
+
+
+@given("a dsr host in zone z1 that knows servers 1,2 of z1 and 3 of z2")
+def given_two_zones(context):
+    servers = [make_server(1), make_server(2), make_server(3, zone="z2")]
+    context.host = Host()
+    context.host.learn(servers, make_routes())
+
+
+@when("caller {caller} opens a flow")
+def when_open(context, caller):
+    context.caller = caller
+    context.packet = make_packet(caller, FLAG_SYN, sequence=5)
+    context.sent += context.host.receive(context.packet)
+
+
+@when("a flow to port {port:d} is opened by caller {caller}")
+def when_open_port(context, port, caller):
+    context.sent += context.host.open_flow(caller, port=port)
+
+
+@when("a server answers the flow that caller {caller} opens")
+def when_establish(context, caller):
+    context.caller = caller
+    context.handle = context.host.establish(caller)
+    context.server = next(s for s in context.servers if s.handle == context.handle)
+    context.sent = []
+
+
+@when("the caller repeats its opening packet")
+def when_repeat(context):
+    packet = make_packet(context.caller, FLAG_SYN, sequence=5, ack=1)
+    context.sent += context.host.receive(packet)
+
+
+@when("{milliseconds:d} ms pass")
+def when_time_passes(context, milliseconds):
+    context.host.clock.advance(milliseconds / 1000)
+
+
+@when("the caller sends data")
+def when_data(context):
+    context.sent = context.host.send_data(context.caller, context.handle)
+
+
+@when("the caller sends data through the other host")
+def when_data_elsewhere(context):
+    context.packet = make_packet(
+        context.caller, FLAG_ACK, sequence=1, ack=9, echo=context.handle, data=b"abc"
+    )
+    context.sent = context.other.receive(context.packet)
+
+
+@when("the caller {caller} sends data with handle {handle:d}")
+def when_data_with_handle(context, caller, handle):
+    context.sent = context.host.send_data(caller, handle)
+
+
+@when("the flow's server is draining")
+def when_draining(context):
+    number = int.from_bytes(context.server.number, "big")
+    server = make_server(number, draining=True, revision=2)
+    context.host.learn([server], revision=2, base=1)
+
+
+@when("the flow's server is removed")
+def when_removed(context):
+    context.host.learn(revision=2, base=1, removed={context.server.server_id: 2})
+
+
+@when("the store is heard again")
+def when_heard(context):
+    context.host.catalog.confirm(context.host.clock.monotonic())
+
+
+@when("a packet that is {fault} arrives")
+def when_malformed(context, fault):
+    whole = make_packet("100.64.0.1:1000", FLAG_SYN)
+    packets = {"empty": b"", "short": whole[:20], "of more data": whole + b"x"}
+    context.sent = context.host.receive(packets[fault])
+
+
+@then("the datagram goes to the server that its handle and number name")
+def then_named(context):
+    [(data, address)] = context.sent
+    [server] = [s for s in context.servers if s.handle == handle_in(data)]
+    assert server.address == address
+    assert data[:8] == server.number
+
+
+@then("the packet differs from the caller's only in the handle")
+def then_unchanged(context):
+    [(data, _)] = context.sent
+    carried = bytearray(data[8:])
+    carried[HANDLE_BYTES] = context.packet[HANDLE_BYTES]
+    assert bytes(carried) == context.packet
+
+
+@then("the other host sends it to the flow's server unchanged")
+def then_same_server(context):
+    expected = context.server.number + context.packet
+    assert context.sent == [(expected, context.server.address)]
+
+
+@then("the two datagrams went to {count} server")
+@then("the two datagrams went to {count} servers")
+def then_servers(context, count):
+    assert len(context.sent) == 2
+    found = len({number_in(data) for data, _ in context.sent})
+    assert found == {"one": 1, "two": 2}[count]
+
+
+@then("one opening without an answer is noted")
+def then_noted(context):
+    assert len(context.host.evidence.take_unsent()) == 1
+
+
+@then("no opening without an answer is noted")
+def then_not_noted(context):
+    assert context.host.evidence.take_unsent() == []
+
+
+@then("the caller gets a reset")
+def then_reset(context):
+    [(data, (ip, port))] = context.sent
+    assert is_reset(data)
+    assert (ip, port) == ("100.64.0.1", 8172)
+
+
+@then("the caller gets a reset near its last acknowledgement")
+def then_reset_on_open_flow(context):
+    [(data, _)] = context.sent
+    assert is_reset(data)
+    assert int.from_bytes(data[:4], "little") == SERVER_SEQUENCE
+    assert len(data) == HEADER_BYTES
+
+
+@then("nothing is sent")
+def then_nothing(context):
+    assert context.sent == []
+
+
+@then("the data goes to the flow's server")
+def then_data_arrives(context):
+    [(data, address)] = context.sent
+    assert (data[:8], address) == (context.server.number, context.server.address)
+
+
+@then("none of {count:d} new flows goes to that server")
+def then_no_new_flows(context, count):
+    assert context.server.address not in placed(context.host, count)
+
+
+@then("all of {count:d} new flows go to the first of them")
+def then_first_only(context, count):
+    assert set(placed(context.host, count)) == {context.servers[0].address}
+
+
+@then("it is counted as malformed")
+def then_malformed(context):
+    assert context.host.journal.counts["packets_dropped", "malformed"] == 1
+
+
+@then("{count:d} new flows all go to servers of zone z1")
+def then_local(context, count):
+    assert ("10.1.0.3", 8000) not in placed(context.host, count)
+
+
+@then("some of {count:d} new flows go to zone z2")
+def then_some_remote(context, count):
+    assert ("10.1.0.3", 8000) in placed(context.host, count)
+
+
+@then("{count:d} new flows within a second differ by at most one between servers")
+def then_even(context, count):
+    found = placed(context.host, count, seconds=1.0 / count)
+    assert len(found) == 3
+    assert max(found.values()) - min(found.values()) <= 1
+
+
+def placed(host, count, seconds=0.0):
+    """Open flows and count them by the server's address."""
+    found = Counter()
+    for index in range(count):
+        host.clock.advance(seconds)
+        [(_, address)] = host.open_flow(f"100.64.1.{index % 250}:{2000 + index}")
+        found[address] += 1
+    return found
