--- /dev/null
+++ b/tests/steps/platform_adapter_steps.py
@@ -0,0 +1,278 @@
+"""Steps for the adapter to the platform."""
+
+import copy
+import json
+
+import trio
+from behave import given, then, when
+from fakes.dsr_world import RecordingJournal
+from fakes.platform_store import PlatformStore, config_entry, server_entry
+
+from hornbeamdeal.dsr import SourceError
+from hornbeamdeal.kernel import Endpoint
+from hornbeamdeal.platform._entries import EntryError, decode_routes, decode_server
+from hornbeamdeal.platform._packets import EchoPacketCodec, encode_end
+from hornbeamdeal.platform._settings import SettingsError, decode_settings
+from hornbeamdeal.platform._store import StoreSource
+from hornbeamdeal.wire import HttpClient
+
+EXAMPLE = bytes.fromhex(
+    "4433221100000000d5c3b2a10000000007004064419c010012c6bb0180000000"
+)
+EXAMPLE_RESET = bytes.fromhex(
+    "000000000000000000000000000000000100 12c6bb01 07004064 419c 02000000".replace(
+        " ", ""
+    )
+)
+CALLER_PORT = 8172
+STORE_PORT = 8169
+STORE_IP = "127.0.7.1"
+WATCH_SECONDS = 0.3
+SETTINGS = {
+    "node_name": "front-1",
+    "ip": "10.1.0.10",
+    "zone": "aqp-cercado",
+    "listen": {
+        "datagram_addr": "10.1.0.10:8172",
+        "ready": "10.1.0.10:8167",
+        "control": "10.1.0.10:8166",
+    },
+    "internal_ports": [7720, 7735],
+    "seeds": ["10.1.0.10:8166", "10.2.0.40:8166"],
+    "bounds": {
+        "config_apply_ms": 3000,
+        "drain_ms": 3000,
+        "grace_s": 6,
+        "flow_lifetime_s": 60,
+    },
+    "platform": {"address": "10.200.1.7:8169"},
+}
+
+
+@given("the platform's example of an opening packet")
+def given_example(context):
+    context.codec = EchoPacketCodec(caller_port=CALLER_PORT)
+    context.segment = context.codec.decode(EXAMPLE)
+
+
+@then("it opens a flow from {caller} to {address}")
+def then_opens(context, caller, address):
+    assert context.segment.is_opening
+    assert context.segment.sequence == 0x11223344
+    described = context.codec.describe_flow(context.segment.flow_key)
+    assert described == f"{caller}>{address}"
+
+
+@then("only bytes 12 to 15 change when handle {handle} is written")
+def then_handle(context, handle):
+    written = context.codec.write_handle(EXAMPLE, int(handle, 16))
+    assert written[12:16] == bytes([4, 3, 2, 1])
+    assert written[:12] + written[16:] == EXAMPLE[:12] + EXAMPLE[16:]
+
+
+@then("its reset is the page's example, sent to {ip} at the callers' port")
+def then_reset(context, ip):
+    data, destination = context.codec.make_reset(context.segment)
+    assert data == EXAMPLE_RESET, data.hex()
+    assert destination == (ip, CALLER_PORT)
+
+
+@when("the platform's entry has {fault}")
+def when_entry(context, fault):
+    entry = server_entry("huvo11a", "10.128.0.9:8080")
+    changes = {
+        "a host name as address": {"address": "server:8080"},
+        "a port that is too high": {"address": "10.128.0.9:80800"},
+        "an unknown state": {"state": "resting"},
+        "text as slots": {"slots": "3"},
+        "true as slots": {"slots": True},
+        "a list as service": {"service": ["huvo11a"]},
+    }
+    entry |= changes.get(fault, {})
+    if fault == "no address":
+        del entry["address"]
+    raw = {"bytes that are no JSON": b"\xff\xfe", "JSON that is no table": b"[1]"}
+    context.value = raw.get(fault, json.dumps(entry).encode())
+
+
+@then("no server is decoded from it")
+def then_no_server(context):
+    try:
+        decode_server("i-7f3a91c2", context.value, 1)
+    except EntryError:
+        return
+    raise AssertionError("the entry was taken")
+
+
+@when("a configuration splits a route 90 to 10")
+def when_split(context):
+    fields = config_entry(3, [("198.18.0.1", 8443, "a")])
+    [route] = fields["routes"]
+    route["backends"] = [
+        {"service": "a", "weight": 90},
+        {"service": "b", "weight": 10},
+    ]
+    context.routes = decode_routes(json.dumps(fields).encode())
+
+
+@then("the route has both services with their weights")
+def then_split(context):
+    route = context.routes.routes_by_key[encode_end("198.18.0.1", 8443)]
+    assert route.weights_by_service == {"a": 90.0, "b": 10.0}
+
+
+@when("the platform's settings have {fault}")
+def when_settings(context, fault):
+    fields = copy.deepcopy(SETTINGS)
+    match fault:
+        case "no listen addresses":
+            del fields["listen"]
+        case "no store":
+            fields["platform"] = None
+        case "text as a bound":
+            fields["bounds"]["drain_ms"] = "3000"
+        case "no ports between hosts":
+            fields["internal_ports"] = []
+        case "a field that is not known":
+            fields["flavour"] = {"of": "tomorrow"}
+        case "a seed that is no address":
+            fields["seeds"].append("nowhere")
+    context.settings, context.error = None, ""
+    try:
+        context.settings = decode_settings(fields)
+    except SettingsError as error:
+        context.error = str(error)
+
+
+@then("the error names {field}")
+def then_error(context, field):
+    assert field in context.error, context.error
+
+
+@then("they are taken")
+def then_taken(context):
+    assert context.settings is not None, context.error
+
+
+@then("the other seeds are kept")
+def then_seeds(context):
+    assert context.settings.seed_ips == ("10.1.0.10", "10.2.0.40")
+
+
+def entry_key(number):
+    return f"servers/i-{number:010x}"
+
+
+@given("a stand-in store with {count:d} servers on pages of {page:d}")
+def given_store(context, count, page):
+    context.store = PlatformStore(page)
+    context.journal = RecordingJournal()
+    context.actions = []
+    context.reported = {}
+    routes = [("198.18.0.1", 443, "reservas")]
+    context.store.put("op/config", config_entry(4, routes))
+    for number in range(1, count + 1):
+        address = f"10.0.0.{number}:8000"
+        context.store.put(entry_key(number), server_entry("reservas", address))
+
+
+@given("a stand-in store with {count:d} servers and an unreadable entry")
+def given_store_with_fault(context, count):
+    given_store(context, count, 50)
+    context.store.put(entry_key(99), b"\xff\xfe")
+
+
+async def _use_store(context, use):
+    """Run the stand-in beside one use of the adapter; return what it returned."""
+    async with trio.open_nursery() as nursery:
+        endpoint = Endpoint(STORE_IP, STORE_PORT)
+        nursery.start_soon(context.store.run, endpoint)
+        await trio.sleep(0.05)
+        client = HttpClient(endpoint=endpoint, connect_timeout=1.0)
+        source = StoreSource(client=client, journal=context.journal)
+        source._reported = context.reported
+        try:
+            return await use(source)
+        except SourceError as error:
+            return error
+        finally:
+            client.close()
+            nursery.cancel_scope.cancel()
+
+
+def load(context):
+    return trio.run(_use_store, context, lambda source: source.load(False))
+
+
+def watch_from(context, revision):
+    async def use(source):
+        return await source.watch(revision, WATCH_SECONDS)
+
+    return trio.run(_use_store, context, use)
+
+
+@when("the adapter loads the store")
+def when_load(context):
+    context.update = load(context)
+
+
+@then("it knows {count:d} servers and the configuration")
+def then_knows(context, count):
+    assert len(context.update.servers) == count
+    assert context.update.routes.version == 4
+
+
+@then("one unusable entry is logged")
+def then_logged(context):
+    names = [name for name, _ in context.journal.events]
+    assert names.count("entry_unusable") == 1
+
+
+@when("the store answers {status:d}")
+def when_status(context, status):
+    context.store.status = status
+
+
+@when("the store says nothing")
+def when_silent(context):
+    context.store.is_silent = True
+
+
+@then("the adapter's load fails as {reason}")
+def then_load_fails(context, reason):
+    error = load(context)
+    assert isinstance(error, SourceError) and error.reason == reason, error
+
+
+@when("a server drains and another leaves")
+def when_changes(context):
+    context.revision = context.store.revision
+    entry = server_entry("reservas", "10.0.0.1:8000", state="draining")
+    context.store.put(entry_key(1), entry)
+    context.store.delete(entry_key(2))
+
+
+@when("a server's entry becomes unreadable")
+def when_unreadable(context):
+    context.revision = context.store.revision
+    context.store.put(entry_key(1), b"{")
+
+
+@when("the store drops its history")
+def when_compacted(context):
+    context.revision = context.store.revision - 1
+    context.store.compact()
+
+
+@then("the adapter's watch returns {drained} drained and one removed server")
+def then_watch(context, drained):
+    update = watch_from(context, context.revision)
+    assert len(update.servers) == {"one": 1, "no": 0}[drained]
+    assert all(server.is_draining for server in update.servers)
+    assert len(update.removed) == 1
+
+
+@then("the adapter's watch fails as {reason}")
+def then_watch_fails(context, reason):
+    error = watch_from(context, context.revision)
+    assert isinstance(error, SourceError) and error.reason == reason, error
