Tell peers only what is new; let no host judge a server alone

A reader with a 5 Mbit/s link passed on the whole catalog to 76 peers after each full read, its link filled, its watch timed out, it read everything again.

Change: news hold what changed; hosts with the widest links read; a server is dead only with signs of two hosts; a host whose clock went back before its start joins again. New flows go to the server with the fewest requests under way.

--- a/hornbeamdeal/dsr/_catalog_reader.py
+++ b/hornbeamdeal/dsr/_catalog_reader.py
@@ -158,14 +158,32 @@
         )
 
     def _take(self, update: Update, confirmed_at: float) -> None:
-        previous = self.catalog.routes
-        self._apply(update)
+        base, previous = self.catalog.revision, self.catalog.routes
+        changes = self._apply(update)
         self.catalog.confirm(confirmed_at)
-        self.duty.note_answer(not update.is_empty, self.clock.monotonic())
+        news = self._news(base, previous, changes)
+        self.duty.note_answer(not news.is_empty, self.clock.monotonic())
         if self.peering is not None:
-            self.peering.spread(update, previous)
+            self.peering.spread(news, previous)
+
+    def _news(
+        self, base: int, previous: RouteTable | None, changes: list[tuple[str, Any]]
+    ) -> Update:
+        """Return what was new here: peers need no more, even after a full read."""
+        routes = self.catalog.routes
+        return Update(
+            base_revision=base,
+            revision=self.catalog.revision,
+            servers=[server for change, server in changes if change == "listed"],
+            removed={
+                server.server_id: self.catalog.removals_by_id[server.server_id].revision
+                for change, server in changes
+                if change == "removed"
+            },
+            routes=routes if routes is not previous else None,
+        )
 
-    def _apply(self, update: Update) -> None:
+    def _apply(self, update: Update) -> list[tuple[str, Any]]:
         version = self._version()
         changes = self.catalog.apply(update, self.clock.monotonic())
         self.note_changes(changes)
@@ -176,6 +194,7 @@
                 previous=version,
                 revision=update.revision,
             )
+        return changes
 
     def _version(self) -> int:
         routes: RouteTable | None = self.catalog.routes
--- a/hornbeamdeal/dsr/_driver.py
+++ b/hornbeamdeal/dsr/_driver.py
@@ -121,7 +121,7 @@
             await trio.sleep(TICK_SECONDS)
             now = self.clock.monotonic()
             self.forwarder.tick(now)
-            for server_id, change in self.evidence.take_changes():
-                self.journal.event(change, server=server_id)
+            for server_id, change, reason in self.evidence.take_changes():
+                self.journal.event(change, server=server_id, **reason)
                 self.journal.count("server_choice", change)
             self.journal.flush()
--- a/hornbeamdeal/dsr/_evidence.py
+++ b/hornbeamdeal/dsr/_evidence.py
@@ -15,10 +15,12 @@
 # One opening packet a host tries such a server again after this long, and goes
 # to a second server at the same time.
 TRIAL_SECONDS = 2.0
-# A server is dead where this many packets of several callers, or packets seen
-# by several hosts, got no reaction, and nobody has seen it alive for so long.
+# A server is dead where this many packets of several callers at several hosts
+# got no reaction, and nobody has seen it alive for so long. One host alone can't
+# tell a server's silence from trouble on its own link.
 DEAD_SIGNS = 3
 DEAD_CALLERS = 2
+DEAD_HOSTS = 2
 DEAD_SILENCE_SECONDS = 0.35
 # The same from open flows alone. A living server repeats its acknowledgement
 # when data is repeated, so a second repetition is rarely its fault; the first
@@ -77,12 +79,35 @@
         silence = now - max(self.progress_at, first_sent)
         if self.is_out and silence >= DEAD_SILENCE_SECONDS and self._are_independent():
             return True
-        stalled = {s.caller for s in self.signs if s.repetitions >= STALLED_REPETITIONS}
-        return len(stalled) >= STALLED_FLOWS and silence >= STALLED_SILENCE_SECONDS
+        stalled = [s for s in self.signs if s.repetitions >= STALLED_REPETITIONS]
+        callers = {sign.caller for sign in stalled}
+        return (
+            len(callers) >= STALLED_FLOWS
+            and len(self._hosts()) >= DEAD_HOSTS
+            and silence >= STALLED_SILENCE_SECONDS
+        )
+
+    def describe(self, now: float) -> dict[str, int]:
+        """Return what speaks against the server, for the log."""
+        first_sent = min((s.sent_at for s in self.signs), default=now)
+        return {
+            "openings": self.openings(),
+            "repeated": len(self.signs) - self.openings(),
+            "callers": len({sign.caller for sign in self.signs}),
+            "hosts": len(self._hosts()),
+            "silence_ms": round(1000 * (now - max(self.progress_at, first_sent))),
+        }
 
     def _are_independent(self) -> bool:
         callers = {sign.caller for sign in self.signs}
-        return len(self.signs) >= DEAD_SIGNS and len(callers) >= DEAD_CALLERS
+        return (
+            len(self.signs) >= DEAD_SIGNS
+            and len(callers) >= DEAD_CALLERS
+            and len(self._hosts()) >= DEAD_HOSTS
+        )
+
+    def _hosts(self) -> set[str]:
+        return {sign.host for sign in self.signs}
 
 
 class EvidenceBook:
@@ -96,7 +121,7 @@
 
     def __init__(self):
         self.evidence_by_id: dict[str, ServerEvidence] = {}
-        self._changes: list[tuple[str, str]] = []
+        self._changes: list[tuple[str, str, dict[str, int]]] = []
         self._unsent: list[tuple[str, Sign]] = []
 
     def note_own_progress(self, server_id: str, now: float) -> None:
@@ -114,10 +139,10 @@
             evidence.signs = [s for s in evidence.signs if s.sent_at > at]
         if evidence.is_out and evidence.openings() < OUT_OPENINGS:
             evidence.is_out = evidence.is_dead = False
-            self._changes.append((server_id, "server_back"))
+            self._changes.append((server_id, "server_back", {}))
         elif evidence.is_dead and not evidence.shows_death(at):
             evidence.is_dead = False
-            self._changes.append((server_id, "server_back"))
+            self._changes.append((server_id, "server_back", {}))
 
     def note_sign(self, server_id: str, sign: Sign, now: float) -> None:
         """Take note of a packet that a server has not reacted to."""
@@ -131,7 +156,7 @@
         if not evidence.is_out and evidence.openings() >= OUT_OPENINGS:
             evidence.is_out = True
             evidence.trial_due = now + TRIAL_SECONDS
-            self._changes.append((server_id, "server_out"))
+            self._note_change(server_id, "server_out", evidence, now)
 
     def is_out(self, server_id: str) -> bool:
         """Tell whether a server gets no new flows."""
@@ -146,7 +171,7 @@
         if not evidence.is_dead and evidence.shows_death(now):
             evidence.is_dead = True
             evidence.trial_due = now + TRIAL_SECONDS
-            self._changes.append((server_id, "server_dead"))
+            self._note_change(server_id, "server_dead", evidence, now)
         return evidence.is_dead
 
     def progress_at(self, server_id: str) -> float:
@@ -179,11 +204,16 @@
         unsent, self._unsent = self._unsent, []
         return unsent
 
-    def take_changes(self) -> list[tuple[str, str]]:
-        """Return servers that went out or came back, each with the change."""
+    def take_changes(self) -> list[tuple[str, str, dict[str, int]]]:
+        """Return servers that went out or came back, the change, and the reason."""
         changes, self._changes = self._changes, []
         return changes
 
+    def _note_change(
+        self, server_id: str, change: str, evidence: ServerEvidence, now: float
+    ) -> None:
+        self._changes.append((server_id, change, evidence.describe(now)))
+
     def _evidence_of(self, server_id: str) -> ServerEvidence:
         evidence = self.evidence_by_id.get(server_id)
         if evidence is None:
--- a/hornbeamdeal/dsr/_fleet.py
+++ b/hornbeamdeal/dsr/_fleet.py
@@ -37,10 +37,12 @@
         "duty",
         "evidence",
         "journal",
+        "make_membership",
         "membership",
         "on_changes",
         "_peers",
         "_random",
+        "_rejoins",
         "_request_due",
     )
 
@@ -51,7 +53,7 @@
         duty: ReadingDuty,
         evidence: EvidenceBook,
         journal: Journal,
-        membership: Membership,
+        make_membership: Callable[[int], Membership],
         on_changes: Callable[[list[tuple[str, Any]]], None],
         random_state: int | None = None,
     ):
@@ -59,15 +61,19 @@
         self.duty = duty
         self.evidence = evidence
         self.journal = journal
-        self.membership = membership
+        self.make_membership = make_membership
+        self.membership = make_membership(0)
         self.on_changes = on_changes
         self._peers: list[EntryHost] = []
+        self._rejoins = 0
         self._random = random.Random(random_state)
         self._request_due = float("-inf")
 
     def tick(self, now: float) -> list[Any]:
         """Do what membership has due, and tell peers of new evidence."""
         actions = self.membership.tick(now)
+        if self.membership.superseded_:
+            self.membership = self._rejoin()
         self._take_members()
         return actions + self._tell_signs(now)
 
@@ -95,6 +101,12 @@
         )
         return [SendPeer(peer.endpoint, message) for peer in self._peers]
 
+    def _rejoin(self) -> Membership:
+        """Join again as a later start: the clock went back before this one."""
+        self._rejoins += 1
+        self.journal.event("rejoining", attempt=self._rejoins)
+        return self.make_membership(self._rejoins)
+
     def _take_members(self) -> None:
         members = [h for h in self.membership.members_.values() if _is_usable(h)]
         own_id = self.membership.own.host_id
@@ -205,9 +217,12 @@
     zones = sorted({host.zone for host in hosts})
     elected = [elect_readers(hosts, zone) for zone in zones]
     rounds = max(map(len, elected), default=0)
-    first = [e[i].host_id for i in range(rounds) for e in elected if i < len(e)]
-    rest = sorted({host.host_id for host in hosts}.difference(first))
-    return first + rest, len(first)
+    first = [e[i] for i in range(rounds) for e in elected if i < len(e)]
+    # Narrow links leave less for callers where they carry news for all.
+    first.sort(key=lambda host: -host.link_mbps)
+    ids = [host.host_id for host in first]
+    rest = sorted({host.host_id for host in hosts}.difference(ids))
+    return ids + rest, len(ids)
 
 
 def _is_usable(host: EntryHost) -> bool:
--- a/hornbeamdeal/dsr/_flow_table.py
+++ b/hornbeamdeal/dsr/_flow_table.py
@@ -21,11 +21,14 @@
 
     `repetitions` counts how often data was repeated since the server last
     proved that it received something, `sent_at` is when the data, or the
-    opening packet, was forwarded last. Times are monotonic seconds.
+    opening packet, was forwarded last. `awaited` is the server for which the
+    flow counts as waiting. Times are monotonic seconds.
     """
 
     __slots__ = (
         "acknowledgement",
+        "awaited",
+        "awaited_since",
         "copies",
         "is_established",
         "last_at",
@@ -48,6 +51,8 @@
         self.acknowledgement: int | None = None
         self.repetitions = 0
         self.sent_at = now
+        self.awaited: Server | None = None
+        self.awaited_since = now
 
     def note_segment(self, segment: Segment, now: float) -> bool:
         """Take a packet of the open flow; tell whether the server proved alive.
@@ -113,10 +118,12 @@
         """Drop a record."""
         self.flows_by_key.pop(key, None)
 
+    def is_sweep_due(self, now: float) -> bool:
+        """Tell whether records should be looked through."""
+        return now - self._swept_at >= SWEEP_SECONDS
+
     def sweep(self, idle_seconds: float, now: float) -> None:
         """Drop records of idle flows."""
-        if now - self._swept_at < SWEEP_SECONDS:
-            return
         self._swept_at = now
         expired = [
             key
--- a/hornbeamdeal/dsr/_forwarder.py
+++ b/hornbeamdeal/dsr/_forwarder.py
@@ -7,6 +7,7 @@
 from ._catalog import Catalog
 from ._evidence import EvidenceBook, Sign
 from ._flow_table import REPETITION_SECONDS, Flow, FlowTable
+from ._outstanding import Outstanding
 from ._placement import Placement
 from ._records import NO_HANDLE, Route, Server
 
@@ -32,6 +33,7 @@
         "evidence",
         "flows",
         "journal",
+        "outstanding",
         "placement",
         "random_state",
         "transmit",
@@ -46,6 +48,7 @@
         evidence: EvidenceBook,
         flows: FlowTable,
         journal: Journal,
+        outstanding: Outstanding,
         placement: Placement,
         transmit: Transmit,
         random_state: int | None = None,
@@ -55,6 +58,7 @@
         self.evidence = evidence
         self.flows = flows
         self.journal = journal
+        self.outstanding = outstanding
         self.placement = placement
         self.transmit = transmit
         self.random_state = random_state
@@ -71,9 +75,12 @@
             self._continue(segment, now)
 
     def tick(self, now: float) -> None:
-        """Forget idle flows."""
-        if self.catalog.routes is not None:
-            self.flows.sweep(self.catalog.routes.idle_timeout, now)
+        """Forget idle flows, and requests that nobody waits for any more."""
+        if self.catalog.routes is None or not self.flows.is_sweep_due(now):
+            return
+        for flow in self.flows.flows_by_key.values():
+            self.outstanding.expire(flow, now)
+        self.flows.sweep(self.catalog.routes.idle_timeout, now)
 
     def _open(self, segment: Segment, now: float) -> None:
         if not self.catalog.is_complete:
@@ -85,6 +92,7 @@
             return
         flow = self.flows.get(segment.flow_key)
         if flow is None or flow.is_established:
+            self._forget(segment.flow_key)
             flow = self.flows.open(segment.flow_key, now)
         flow.last_at = now
         is_copy = segment.copy_number <= flow.copies
@@ -109,6 +117,7 @@
             self._try_again(segment, listed, flow, now)
         server = self.placement.choose(candidates, now)
         self.placement.note_placed(server, now)
+        self.outstanding.start(flow, server, now)
         flow.tried.append(server)
         flow.sent_at = now
         self._send(segment, server)
@@ -189,11 +198,17 @@
         """Take what the packet tells of the flow's server."""
         if not flow.is_established:
             self.journal.observe("handshake_seconds", now - flow.sent_at)
+        is_new = not flow.is_established
         flow.server = server
         if flow.note_segment(segment, now):
             self.evidence.note_own_progress(server.server_id, now)
+            if not is_new:
+                self.outstanding.finish(flow)
+        if segment.is_ending:
+            self.outstanding.finish(flow)
         if not segment.length:
             return
+        self.outstanding.start(flow, server, now)
         silence = flow.note_data(segment, now)
         if silence is not None:
             self.journal.count("data_repeated")
@@ -207,6 +222,12 @@
         flow.acknowledgement = segment.acknowledgement
         return flow
 
+    def _forget(self, flow_key: bytes) -> None:
+        flow = self.flows.get(flow_key)
+        if flow is not None:
+            self.outstanding.finish(flow)
+            self.flows.forget(flow_key)
+
     def _refuse(self, segment: Segment, reason: str, now: float) -> None:
         """Answer an opening packet that nothing can serve, if that is certain."""
         age = self.catalog.age(now)
@@ -225,7 +246,7 @@
             self.transmit(*self.codec.make_reset(segment))
 
     def _reset(self, segment: Segment, server: Server, reason: str, now: float) -> None:
-        self.flows.forget(segment.flow_key)
+        self._forget(segment.flow_key)
         self.journal.count("flows_reset", reason)
         self.journal.event(
             "flow_reset",
--- a/hornbeamdeal/dsr/_peering.py
+++ b/hornbeamdeal/dsr/_peering.py
@@ -52,7 +52,9 @@
             self._nursery.start_soon(self.port_.run)
             self._nursery.start_soon(self.bulk_port_.run)
             while True:
-                self._carry_out(self.fleet.tick(self.clock.monotonic()))
+                actions = self.fleet.tick(self.clock.monotonic())
+                self.codec.incarnation = self.fleet.membership.own.incarnation
+                self._carry_out(actions)
                 await trio.sleep(TICK_SECONDS)
 
     def spread(self, update: Update, previous: RouteTable | None) -> None:
--- a/hornbeamdeal/dsr/_placement.py
+++ b/hornbeamdeal/dsr/_placement.py
@@ -11,6 +11,7 @@
 
 from hornbeamdeal.kernel import Between, create, register, validate_parameters
 
+from ._outstanding import Outstanding
 from ._records import Server
 
 # Half of a placement's weight is gone after this long, some requests later.
@@ -18,8 +19,8 @@
 # Placements that a server of another zone must be behind one of the own zone:
 # bytes between zones are priced, and a cut zone can't be reached.
 ZONE_SLACK = 2.0
-# A server that has just started works slower for some seconds.
-WARMING_FACTOR = 1.6
+# Weight of a recent placement beside a request under way.
+PLACED_WEIGHT = 0.25
 
 
 class Placement(Protocol):
@@ -125,6 +126,31 @@
         return min(rotated, key=lambda server: self._load(server, now))
 
 
+@register("placement", "least_outstanding")
+class LeastOutstanding(FewestPlaced):
+    """The server with the fewest requests under way for each slot.
+
+    Recent placements count for a little, so that servers without any request
+    take turns.
+
+    Parameters
+    ----------
+    outstanding : Outstanding
+        Requests under way as this host sees them.
+    """
+
+    __slots__ = ("outstanding",)
+
+    def __init__(self, *, outstanding: Outstanding, **parameters):
+        super().__init__(**parameters)
+        self.outstanding = outstanding
+
+    def _load(self, server: Server, now: float) -> float:
+        under_way = self.outstanding.count(server.server_id)
+        placed = self.counts_.value(server.server_id, now)
+        return (under_way + PLACED_WEIGHT * placed) / max(server.slots, 1)
+
+
 def make_placement(name: str, **parameters) -> Placement:
     """Build the placement policy that is registered under a name."""
     return create("placement", name, **parameters)
--- a/hornbeamdeal/kernel/_values.py
+++ b/hornbeamdeal/kernel/_values.py
@@ -67,7 +67,10 @@
 
 @dataclass(frozen=True, slots=True)
 class EntryHost:
-    """An entry host of the region. `incarnation` is drawn anew at each start."""
+    """An entry host of the region. `incarnation` is drawn anew at each start.
+
+    `link_mbps` is the bandwidth of its link, 0 where that is not known.
+    """
 
     host_id: str
     incarnation: int
@@ -76,6 +79,7 @@
     state: HostState = HostState.ALIVE
     version: Version | None = None
     sequence: int = 0
+    link_mbps: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/hornbeamdeal/membership/_readers.py
+++ b/hornbeamdeal/membership/_readers.py
@@ -20,9 +20,12 @@
     """Return the zone's readers by rendezvous hashing (Thaler, Ravishankar 1998).
 
     Hosts with the same view elect the same readers without a message, and the
-    loss of a host that is not a reader changes nothing.
+    loss of a host that is not a reader changes nothing. Those with the widest
+    links come first, since readers pass on what they read.
     """
     usable = (HostState.ALIVE, HostState.SUSPECT)
     candidates = [h for h in hosts if h.zone == zone and h.state in usable]
-    candidates.sort(key=lambda host: _weight(host.host_id, zone), reverse=True)
+    candidates.sort(
+        key=lambda host: (host.link_mbps, _weight(host.host_id, zone)), reverse=True
+    )
     return candidates[:count]
--- a/hornbeamdeal/membership/_records.py
+++ b/hornbeamdeal/membership/_records.py
@@ -73,6 +73,7 @@
         host.sequence,
         number,
         digest,
+        host.link_mbps,
     )
 
 
@@ -110,4 +111,5 @@
         WIRE_STATES[record.state],
         version,
         record.sequence,
+        record.link_mbps or 0,
     )
--- a/hornbeamdeal/platform/_assembly.py
+++ b/hornbeamdeal/platform/_assembly.py
@@ -11,6 +11,7 @@
     FlowTable,
     Forwarder,
     Journal,
+    Outstanding,
     PacketPort,
     ReadingDuty,
     make_placement,
@@ -25,13 +26,16 @@
 from ._settings import NodeSettings
 from ._store import StoreSource
 
-PLACEMENT = "fewest_placed"
+PLACEMENT = "least_outstanding"
 # The platform hands its machines no secret, so that the key of messages
 # between nodes only tells them from other datagrams.
 PEER_KEY_ID = 1
 PEER_KEY = b"hornbeamdeal platform nodes"
 
 
+# Steps of the time of day are some seconds; a host whose clock went back before
+# it started again joins as if it had started this much later.
+CLOCK_STEP_SECONDS = 10.0
 # Time limit of a new connection to the store; a store that is there takes it in
 # some milliseconds.
 STORE_CONNECT_SECONDS = 0.5
@@ -42,15 +46,21 @@
 ) -> Forwarder:
     """Build what forwards packets, the first thing that callers wait for."""
     random_state = random.getrandbits(32)
+    outstanding = Outstanding()
+    placement = make_placement(
+        PLACEMENT,
+        outstanding=outstanding,
+        zone=settings.zone,
+        random_state=random_state,
+    )
     return Forwarder(
         catalog=Catalog(),
         codec=EchoPacketCodec(caller_port=settings.packet_listen.port),
         evidence=EvidenceBook(),
         flows=FlowTable(),
         journal=journal,
-        placement=make_placement(
-            PLACEMENT, zone=settings.zone, random_state=random_state
-        ),
+        outstanding=outstanding,
+        placement=placement,
         transmit=PacketPort(packet_socket, journal),
         random_state=random_state,
     )
@@ -92,25 +102,35 @@
     from hornbeamdeal.membership import Membership, draw_incarnation
     from hornbeamdeal.wire import PeerCodec
 
-    incarnation = draw_incarnation(time.time())
     listen = Endpoint(settings.ip, settings.peer_port)
-    own = EntryHost(settings.host_id, incarnation, listen, settings.zone)
     seeds = [Endpoint(ip, settings.peer_port) for ip in settings.seed_ips]
+
+    def make_membership(rejoins: int) -> Membership:
+        wall_seconds = time.time() + rejoins * CLOCK_STEP_SECONDS
+        own = EntryHost(
+            settings.host_id,
+            draw_incarnation(wall_seconds),
+            listen,
+            settings.zone,
+            link_mbps=settings.link_mbps,
+        )
+        return Membership(
+            own=own,
+            seeds=[seed for seed in seeds if seed != listen],
+            random_state=random.getrandbits(32),
+        )
+
     fleet = Fleet(
         catalog=node.catalog,
         duty=node.duty,
         evidence=node.evidence,
         journal=node.journal,
-        membership=Membership(
-            own=own,
-            seeds=[seed for seed in seeds if seed != listen],
-            random_state=random.getrandbits(32),
-        ),
+        make_membership=make_membership,
         on_changes=node.reader.note_changes,
     )
     codec = PeerCodec(
         host_id=settings.host_id,
-        incarnation=incarnation,
+        incarnation=fleet.membership.own.incarnation,
         keys_by_id={PEER_KEY_ID: PEER_KEY},
         sending_key_id=PEER_KEY_ID,
     )
--- a/hornbeamdeal/platform/_settings.py
+++ b/hornbeamdeal/platform/_settings.py
@@ -19,7 +19,8 @@
 
     `packet_listen` takes callers' packets, `readiness_listen` the routers'
     readiness checks, `control_listen` is only named to other nodes.
-    `peer_port` is used between nodes, `metrics_port` by operators.
+    `peer_port` is used between nodes, `metrics_port` by operators. `link_mbps` is
+    the bandwidth of the machine's link.
     """
 
     __slots__ = (
@@ -29,6 +30,7 @@
         "flow_lifetime_seconds",
         "host_id",
         "ip",
+        "link_mbps",
         "metrics_port",
         "packet_listen",
         "peer_port",
@@ -70,6 +72,7 @@
         "host_id": reader.field("node_name", str),
         "ip": reader.field("ip", str),
         "zone": reader.field("zone", str),
+        "link_mbps": round(reader.number("limits", "link_mbps")),
         "packet_listen": reader.endpoint("listen", "datagram_addr"),
         "readiness_listen": reader.endpoint("listen", "ready"),
         "control_listen": reader.endpoint("listen", "control", optional=True),
--- a/hornbeamdeal/wire/_generated/peer/ttypes.py
+++ b/hornbeamdeal/wire/_generated/peer/ttypes.py
@@ -28,6 +28,7 @@
      - sequence
      - version_number
      - version_digest
+     - link_mbps
 
     """
 
@@ -41,10 +42,11 @@
         'sequence',
         'version_number',
         'version_digest',
+        'link_mbps',
     )
 
 
-    def __init__(self, host_id=None, incarnation=None, ip=None, port=None, zone=None, state=None, sequence=None, version_number=None, version_digest=None,):
+    def __init__(self, host_id=None, incarnation=None, ip=None, port=None, zone=None, state=None, sequence=None, version_number=None, version_digest=None, link_mbps=None,):
         self.host_id = host_id
         self.incarnation = incarnation
         self.ip = ip
@@ -54,6 +56,7 @@
         self.sequence = sequence
         self.version_number = version_number
         self.version_digest = version_digest
+        self.link_mbps = link_mbps
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -109,6 +112,11 @@
                     self.version_digest = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I32:
+                    self.link_mbps = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -155,6 +163,10 @@
             oprot.writeFieldBegin('version_digest', TType.STRING, 9)
             oprot.writeBinary(self.version_digest)
             oprot.writeFieldEnd()
+        if self.link_mbps is not None:
+            oprot.writeFieldBegin('link_mbps', TType.I32, 10)
+            oprot.writeI32(self.link_mbps)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3270,6 +3282,7 @@
     (7, TType.I64, 'sequence', None, None, ),  # 7
     (8, TType.I64, 'version_number', None, None, ),  # 8
     (9, TType.STRING, 'version_digest', 'BINARY', None, ),  # 9
+    (10, TType.I32, 'link_mbps', None, None, ),  # 10
 )
 all_structs.append(Accusation)
 Accusation.thrift_spec = (
--- a/hornbeamdeal/wire/peer.thrift
+++ b/hornbeamdeal/wire/peer.thrift
@@ -11,6 +11,7 @@
   7: i64 sequence       // raised by the member itself to refute a suspicion
   8: i64 version_number // document in force, 0 where none
   9: binary version_digest
+  10: i32 link_mbps     // 0 where it is not known
 }
 
 // A suspicion, death or refutation of a member whose record the receiver has.
--- a/tests/dsr/fleet.feature
+++ b/tests/dsr/fleet.feature
@@ -13,6 +13,15 @@
       | 7     |
       | 40    |
 
+  Scenario: a full read of the store tells peers only what was new
+    Guards against readers that fill their own link with whole catalogs.
+    Given a fleet of 7 hosts that runs for 20 s
+    Then no message to a peer holds more than 2 servers from 10 s on
+
+  Scenario: readers with wide links come first
+    Given entry hosts with links of 5, 100 and 10 Mbit/s in one zone
+    Then the host with 100 Mbit/s reads first
+
   Scenario: a change is in force everywhere at once
     Given a fleet of 7 hosts in which a version is published at 10 s
     Then every host has it in force within 0.1 s
--- a/tests/steps/platform_adapter_steps.py
+++ b/tests/steps/platform_adapter_steps.py
@@ -38,6 +38,7 @@
         "control": "10.1.0.10:8166",
     },
     "internal_ports": [7720, 7735],
+    "limits": {"link_mbps": 1000.0},
     "seeds": ["10.1.0.10:8166", "10.2.0.40:8166"],
     "bounds": {
         "config_apply_ms": 3000,
