Add operators' commands for nodes

Change: hornbeamdeal-ctl nodes, opening and trace; the node's /explain page. Conclusion: four new scenarios pass.

--- a/hornbeamdeal/ctl/_explain.py
+++ b/hornbeamdeal/ctl/_explain.py
@@ -12,7 +12,7 @@
     query = urlencode({"address": address, "caller": caller})
     result = read(host, f"/explain?{query}")
     if result.is_err():
-        return _failed(host, result.err_value)
+        return failed(host, result.err_value)
     text = result.ok_value.decode(errors="replace").strip()
     return Report([text], {"host": host, "explanation": _decoded(text)})
 
@@ -24,7 +24,8 @@
         return text
 
 
-def _failed(host: str, error: ReadError) -> Report:
+def failed(host: str, error: ReadError) -> Report:
+    """Report that a host gave no usable answer."""
     words = "refused" if error.reachable else "unreachable"
     code = ExitCode.DIFFERENCE if error.reachable else ExitCode.UNREACHABLE
     data = {"host": host, "error": error.reason}
--- /dev/null
+++ b/hornbeamdeal/ctl/_nodes.py
@@ -0,0 +1,107 @@
+"""Nodes of direct server return: their views, an opening packet, a flow's log."""
+
+import json
+from collections.abc import Iterable
+from typing import Any
+from urllib.parse import urlencode
+
+from ._explain import failed
+from ._http import for_each, read
+from ._report import ExitCode, Report
+
+# Older knowledge than this is not in force in time (`config_apply_ms`).
+STALE_AGE_MS = 3000
+_SERVER_EVENTS = ("server_out", "server_dead", "server_back", "server_removed")
+
+
+def nodes(hosts: list[str]) -> Report:
+    """Report each node's view, and which nodes lag or hold old knowledge."""
+    results = for_each(hosts, lambda host: read(host, "/status"))
+    statuses, unreachable = {}, {}
+    for host, result in zip(hosts, results, strict=True):
+        if result.is_err():
+            unreachable[host] = result.err_value.reason
+            continue
+        try:
+            statuses[host] = json.loads(result.ok_value)
+        except ValueError as error:
+            unreachable[host] = f"the status cannot be read: {error}"
+    newest = max((status["version"] for status in statuses.values()), default=0)
+    behind = [h for h, s in statuses.items() if _is_behind(s, newest)]
+    lines = [_node_line(host, status, newest) for host, status in statuses.items()]
+    lines += [f"{host}: unreachable ({why})" for host, why in unreachable.items()]
+    readers = sum(status["reads_the_store"] for status in statuses.values())
+    lines.append(
+        f"{len(behind)} behind, {len(unreachable)} unreachable, {readers} reading"
+    )
+    code = ExitCode.DIFFERENCE if behind else ExitCode.OK
+    return Report(
+        lines,
+        {"nodes": statuses, "behind": behind, "unreachable": unreachable},
+        ExitCode.UNREACHABLE if unreachable else code,
+    )
+
+
+def opening(host: str, address: str) -> Report:
+    """Ask a node what an opening packet for an address would get, and why."""
+    result = read(host, f"/explain?{urlencode({'address': address})}")
+    if result.is_err():
+        return failed(host, result.err_value)
+    found = json.loads(result.ok_value)
+    lines = [f"{address}: {found['verdict']}"]
+    lines += [_server_line(server) for server in found.get("servers", ())]
+    return Report(lines, found)
+
+
+def trace(log: str, caller: str, address: str) -> Report:
+    """Report the log lines of a flow, and what happened to its servers."""
+    flow = f"flow={caller}>{address}"
+    try:
+        with open(log, encoding="utf-8", errors="replace") as file:
+            lines = [line.rstrip("\n") for line in file]
+    except OSError as error:
+        return Report([f"{log}: {error}"], {"error": str(error)}, ExitCode.DIFFERENCE)
+    own = [line for line in lines if flow in line.split()]
+    servers = {word for line in own for word in line.split() if _names_server(word)}
+    found = [line for line in lines if line in own or _concerns(line, servers)]
+    if not own:
+        text = f"no line has {flow}; ask the logs of the zone's other hosts"
+        return Report([text], {"lines": []}, ExitCode.DIFFERENCE)
+    return Report(found, {"lines": found})
+
+
+def _is_behind(status: dict[str, Any], newest: int) -> bool:
+    return status["version"] != newest or status["age_ms"] > STALE_AGE_MS
+
+
+def _node_line(host: str, status: dict[str, Any], newest: int) -> str:
+    parts = [
+        f"{host} {status['host_id']} ({status['zone']}): version {status['version']}",
+        f"revision {status['revision']}, {status['age_ms']} ms old",
+        "ready" if status["ready"] else "not ready",
+    ]
+    if status["reads_the_store"]:
+        parts.append(f"reads the store (position {status['reader_position']})")
+    if status["servers_out"]:
+        parts.append("out: " + " ".join(status["servers_out"]))
+    if status["version"] != newest:
+        parts.append(f"lags behind version {newest}")
+    return ", ".join(parts)
+
+
+def _server_line(server: dict[str, Any]) -> str:
+    parts = [f"  {server['server']} ({server['zone']}): {server['state']}"]
+    parts.append(f"{server['under_way']} requests under way here")
+    alive = server["alive_ms"]
+    parts.append(f"alive {alive} ms ago" if alive >= 0 else "not seen alive here")
+    return ", ".join(parts)
+
+
+def _names_server(word: str) -> bool:
+    return word.startswith("server=")
+
+
+def _concerns(line: str, servers: Iterable[str]) -> bool:
+    words = line.split()
+    is_event = any(f"event={event}" in words for event in _SERVER_EVENTS)
+    return is_event and any(server in words for server in servers)
--- a/hornbeamdeal/ctl/main.py
+++ b/hornbeamdeal/ctl/main.py
@@ -5,7 +5,7 @@
 
 import fire
 
-from . import _explain, _files, _status
+from . import _explain, _files, _nodes, _status
 from ._report import Report
 
 
@@ -84,6 +84,36 @@
         trial, production = _split(trial_hosts), _split(production_hosts)
         return _finish(_status.promoted(trial, production), json)
 
+    def nodes(self, hosts, json=False) -> Report:
+        """Print each node's view of routes and servers, and which nodes lag.
+
+        Args:
+            hosts: Metrics ports of the nodes, as ip:port,ip:port.
+            json: Print JSON.
+        """
+        return _finish(_nodes.nodes(_split(hosts)), json)
+
+    def opening(self, host, address, json=False) -> Report:
+        """Ask a node what an opening packet would get now, and why.
+
+        Args:
+            host: Metrics port of the node, as ip:port.
+            address: Service address that the caller sends to, as ip:port.
+            json: Print JSON.
+        """
+        return _finish(_nodes.opening(str(host), str(address)), json)
+
+    def trace(self, log, caller, address, json=False) -> Report:
+        """Print a flow's log lines, and what happened to its servers.
+
+        Args:
+            log: Path of a node's log.
+            caller: Address of the caller, as ip:port.
+            address: Service address that the caller sent to, as ip:port.
+            json: Print JSON.
+        """
+        return _finish(_nodes.trace(str(log), str(caller), str(address)), json)
+
 
 def _split(hosts: Any) -> list[str]:
     """Return the listed hosts; raise FireError, a usage error, where none is."""
--- a/hornbeamdeal/dsr/_forwarder.py
+++ b/hornbeamdeal/dsr/_forwarder.py
@@ -2,6 +2,7 @@
 
 import random
 import zlib
+from typing import Any
 
 from ._base import Journal, PacketCodec, Segment, Transmit
 from ._catalog import Catalog
@@ -82,6 +83,40 @@
             self.outstanding.expire(flow, now)
         self.flows.sweep(self.catalog.routes.idle_timeout, now)
 
+    def explain(self, address_key: bytes, now: float) -> dict[str, Any]:
+        """Return what an opening packet for an address would get, and why."""
+        route = self.catalog.route_of(address_key)
+        if route is None:
+            is_fresh = self.catalog.age(now) < REFUSAL_AGE_SECONDS
+            verdict = "refused: no route" if is_fresh else "dropped: no route, old view"
+            return {"verdict": verdict, "servers": []}
+        services = route.weights_by_service
+        servers = [
+            s for s in self.catalog.servers_by_id.values() if s.service in services
+        ]
+        described = [self._describe_server(server, now) for server in servers]
+        usable = sum(server["state"] == "takes new flows" for server in described)
+        verdict = f"route {route.name}: {usable} of {len(described)} servers"
+        if not described:
+            verdict = f"refused: route {route.name} has no server"
+        return {"verdict": verdict, "servers": described}
+
+    def _describe_server(self, server: Server, now: float) -> dict[str, Any]:
+        state = "takes new flows"
+        if server.is_draining:
+            state = "draining"
+        elif self.evidence.is_dead(server.server_id, now):
+            state = "dead"
+        elif self.evidence.is_out(server.server_id):
+            state = "out"
+        return {
+            "server": server.server_id,
+            "zone": server.zone,
+            "state": state,
+            "under_way": self.outstanding.count(server.server_id),
+            "alive_ms": self._alive_ms(server, now),
+        }
+
     def _open(self, segment: Segment, now: float) -> None:
         if not self.catalog.is_complete:
             self.journal.count("packets_dropped", "no_catalog")
--- a/hornbeamdeal/platform/_pages.py
+++ b/hornbeamdeal/platform/_pages.py
@@ -6,6 +6,8 @@
 from hornbeamdeal.dsr import Node
 from hornbeamdeal.wire import HttpRequest, HttpResponse
 
+from ._packets import encode_end
+
 READINESS_PATH = "/-/readiness"
 TEXT = {"Content-Type": "text/plain; charset=utf-8"}
 JSON = {"Content-Type": "application/json"}
@@ -33,9 +35,19 @@
             case "/metrics":
                 return HttpResponse(200, self.node.journal.render(self._gauges()), TEXT)
             case "/status":
-                body = json.dumps(self.status()).encode() + b"\n"
-                return HttpResponse(200, body, JSON)
-        return HttpResponse(404, b"pages: /metrics /status\n", TEXT)
+                return _json(200, self.status())
+            case "/explain":
+                return self._explain(request.query.get("address", ""))
+        return HttpResponse(404, b"pages: /metrics /status /explain\n", TEXT)
+
+    def _explain(self, address: str) -> HttpResponse:
+        ip, _, port = address.rpartition(":")
+        try:
+            address_key = encode_end(ip, int(port))
+        except ValueError:
+            return _json(400, {"error": "give address as ip:port"})
+        now = self.node.clock.monotonic()
+        return _json(200, self.node.forwarder.explain(address_key, now))
 
     def status(self) -> dict[str, Any]:
         """Return this host's view: what it knows, how old, and who reads."""
@@ -63,3 +75,7 @@
         gauges["servers_out"] = float(len(status["servers_out"]))
         gauges["reads_the_store"] = float(status["reads_the_store"])
         return gauges
+
+
+def _json(status: int, content: dict[str, Any]) -> HttpResponse:
+    return HttpResponse(status, json.dumps(content).encode() + b"\n", JSON)
--- a/tests/ctl/ctl.feature
+++ b/tests/ctl/ctl.feature
@@ -74,3 +74,28 @@
     Given ctl hosts one and two with versions 3 and 3
     When ctl runs "explain --host one --address 10.0.0.1:5683 --caller 10.0.0.2:9"
     Then ctl exits with 0 and prints "10.0.0.2:9 gets reservas-1 of 10.0.0.1:5683"
+
+  Scenario: nodes that lag or hold old knowledge are named
+    Given a ctl node "front-1" at version 7 that is 40 ms old and reads the store
+    And a ctl node "front-2" at version 6 that is 4000 ms old
+    When ctl runs "nodes" on them
+    Then ctl exits with 1 and prints "lags behind version 7"
+    And ctl printed "reads the store (position 0)"
+    And ctl printed "1 behind, 0 unreachable, 1 reading"
+
+  Scenario: a node explains what an opening packet gets
+    Given a ctl node "front-1" at version 7 that is 40 ms old and reads the store
+    When ctl asks it for the opening of "198.18.0.1:443"
+    Then ctl exits with 0 and prints "i-01 (z1): dead, 0 requests under way here, alive 900 ms ago"
+
+  Scenario: a flow's lines are found with what happened to its server
+    Given a ctl log of a node
+    When ctl traces "100.64.0.1:1000" to "198.18.0.1:443" in it
+    Then ctl exits with 0 and prints "event=flow_placed"
+    And ctl printed "event=server_dead"
+    And ctl printed nothing of "100.64.0.2:1000"
+
+  Scenario: a flow that a log does not have says where to look
+    Given a ctl log of a node
+    When ctl traces "100.64.9.9:1" to "198.18.0.1:443" in it
+    Then ctl exits with 1 and prints "ask the logs of the zone's other hosts"
