Let a relieved host stop to read the store

Cause: an answer of the store made its host a reader again although a peer had relieved it while the answer was under way; it then read for ever beside the reader.

Ruled out: load on the machine; the test plays virtual time and the order of trio's tasks decides.

Change: the duty remembers that it was relieved since the read began.

--- a/hornbeamdeal/dsr/_catalog_reader.py
+++ b/hornbeamdeal/dsr/_catalog_reader.py
@@ -121,6 +121,7 @@
 
     async def _read(self) -> None:
         was_reading = self.duty.is_reading
+        self.duty.note_start()
         try:
             if self.duty.is_reload_due(self.clock.monotonic()):
                 await self._reload()
@@ -129,7 +130,7 @@
         except SourceError as error:
             self._note_failure(error, was_reading)
             return
-        if not was_reading:
+        if self.duty.is_reading and not was_reading:
             self.journal.event("reading_started", position=self.duty.position)
 
     async def _watch(self) -> None:
--- a/hornbeamdeal/dsr/_reading_duty.py
+++ b/hornbeamdeal/dsr/_reading_duty.py
@@ -59,6 +59,7 @@
         "random_state",
         "reload_due",
         "_failures",
+        "_is_relieved",
         "_not_before",
         "_random",
         "_spread",
@@ -72,6 +73,7 @@
         self.must_reload = False
         self.reload_due = float("-inf")
         self._failures = 0
+        self._is_relieved = False
         self._not_before = float("-inf")
         self._random = random.Random(random_state)
         self._spread = self._random.uniform(0, OWN_READ_SPREAD_SECONDS)
@@ -95,13 +97,20 @@
         """
         return self.must_reload or (self.is_reading and now >= self.reload_due)
 
+    def note_start(self) -> None:
+        """Take note that a read begins."""
+        self._is_relieved = False
+
     def note_answer(self, changed: bool, now: float) -> None:
-        """Take note of an answer of the store."""
+        """Take note of an answer of the store.
+
+        A peer may have relieved this host while the answer was under way.
+        """
         if not self.is_reading:
             self.reload_due = now + RELOAD_SECONDS
         self._failures = 0
         self._not_before = now + (CHANGE_SPACING_SECONDS if changed else 0.0)
-        self.is_reading = True
+        self.is_reading = not self._is_relieved
 
     def note_reload(self, now: float) -> None:
         """Take note of a complete read."""
@@ -132,6 +141,7 @@
         self._failures = 0
         if self.position is None or position < self.position:
             self.is_reading = False
+            self._is_relieved = True
 
     def _patience(self) -> float:
         if self.position is None or not self.is_stand_in:
