--- a/hornbeamdeal/observability/_journal.py
+++ b/hornbeamdeal/observability/_journal.py
@@ -14,6 +14,10 @@
 
 # Lines that wait for a reader of the output; older ones are dropped beyond.
 BUFFERED_LINES = 2000
+# A node of today places up to some tens of flows a second; a line costs 20 to 30
+# microseconds of processor time, so that this is 0.1% of a core.
+BURST_LINES = 200
+LINES_PER_SECOND = 40.0
 # Upper bounds of the histograms' buckets, in seconds.
 BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2)
 
@@ -67,7 +71,7 @@
         self.descriptor = descriptor
         self.counts_by_key_: dict[tuple[str, str], int] = {}
         self.histograms_by_name_: dict[str, Histogram] = {}
-        self._limiter = LogLimiter()
+        self._limiter = LogLimiter(BURST_LINES, LINES_PER_SECOND)
         self._lines: deque[str] = deque(maxlen=BUFFERED_LINES)
         self._rest = b""
 
--- a/hornbeamdeal/observability/_limiter.py
+++ b/hornbeamdeal/observability/_limiter.py
@@ -9,18 +9,34 @@
 
     Every received datagram may cause a line, and a stranger on the network can
     send them without end. Counters are not limited.
-    """
 
-    __slots__ = ("buckets_by_event_", "suppressed_by_event_")
+    Parameters
+    ----------
+    burst : int
+        Lines of one event that may be written at once.
+    lines_per_second : float
+        Lines of one event that may be written in the long run.
+    """
 
-    def __init__(self):
+    __slots__ = (
+        "burst",
+        "buckets_by_event_",
+        "lines_per_second",
+        "suppressed_by_event_",
+    )
+
+    def __init__(
+        self, burst: int = BURST_LINES, lines_per_second: float = LINES_PER_SECOND
+    ):
+        self.burst = burst
+        self.lines_per_second = lines_per_second
         self.buckets_by_event_: dict[str, tuple[float, float]] = {}
         self.suppressed_by_event_: dict[str, int] = {}
 
     def allows(self, event: str, now: float) -> bool:
         """Tell whether a line of the event may be written now."""
-        tokens, filled_at = self.buckets_by_event_.get(event, (BURST_LINES, now))
-        tokens = min(BURST_LINES, tokens + (now - filled_at) * LINES_PER_SECOND)
+        tokens, filled_at = self.buckets_by_event_.get(event, (self.burst, now))
+        tokens = min(self.burst, tokens + (now - filled_at) * self.lines_per_second)
         if tokens < 1:
             self.buckets_by_event_[event] = (tokens, now)
             suppressed = self.suppressed_by_event_.get(event, 0)
--- /dev/null
+++ b/tests/fakes/platform_world.py
@@ -0,0 +1,451 @@
+"""Real nodes as processes, with stand-ins of the store, servers and callers.
+
+Every party has an address of its own in 127.0.0.0/8. The checks use only what
+callers and servers see.
+"""
+
+import json
+import os
+import random
+import signal
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+import trio
+
+from hornbeamdeal.kernel import Endpoint
+
+from .dsr_world import (
+    FLAG_ACK,
+    FLAG_FIN,
+    FLAG_RST,
+    FLAG_SYN,
+    HEADER_BYTES,
+    encode_end,
+    make_packet,
+)
+from .platform_store import PlatformStore, config_entry, server_entry
+from .tcp_proxy import TcpProxy
+
+REPOSITORY = Path(__file__).resolve().parents[2]
+PACKET_PORT, READY_PORT, STORE_PORT = 8172, 8167, 8169
+PEER_PORT, METRICS_PORT, SERVER_PORT = 7720, 7735, 8000
+STORE_IP = "127.99.0.1"
+SERVICE = "reservas"
+ANSWER_BYTES = 300
+# The bounds of the deployments that the nodes are made for.
+DRAIN_SECONDS = CONFIG_SECONDS = 3.0
+TOUCH_SECONDS = 4.0
+DEADLINE_SECONDS = 1.5
+OPENING_REPEATS = (0.2, 0.4, 0.8)
+DATA_REPEATS = (0.2, 0.4, 0.8)
+GRACE_SECONDS = 6
+
+
+class NodeProcess:
+    """One node: its settings, its proxy to the store, its process."""
+
+    def __init__(self, world, index):
+        self.world = world
+        self.name = f"node-{index}"
+        self.ip = f"127.2.0.{index + 1}"
+        self.zone = f"z{index % 2}"
+        self.proxy = TcpProxy(
+            Endpoint(self.ip, STORE_PORT), Endpoint(STORE_IP, STORE_PORT)
+        )
+        self.process = None
+        self.calm_since = trio.current_time()
+        self.log_path = world.folder / f"{self.name}.log"
+
+    def start(self):
+        """Start the program."""
+        path = self.world.folder / f"{self.name}.json"
+        path.write_text(json.dumps(self._settings()))
+        site = [p for p in sys.path if p.endswith("site-packages")]
+        environment = {
+            "PATH": os.environ["PATH"],
+            "PYTHONPATH": os.pathsep.join([str(REPOSITORY), *site]),
+            "HORNBEAMDEAL_NODE_FILE": str(path),
+        }
+        command = [sys.executable, "-S", str(REPOSITORY / "deploy/__main__.py")]
+        with open(self.log_path, "ab") as log:
+            self.process = subprocess.Popen(
+                [*command, f"{self.ip}:{PACKET_PORT}"],
+                env=environment,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+        self.disturb()
+
+    def disturb(self):
+        """Take note that rules with a time bound don't hold now."""
+        self.calm_since = trio.current_time()
+
+    def is_calm(self):
+        """Tell whether rules with a time bound hold for this node."""
+        return trio.current_time() - self.calm_since > TOUCH_SECONDS
+
+    def signal(self, number):
+        """Send a signal to the process, if it runs."""
+        self.disturb()
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    async def stop(self):
+        """Stop as planned; return the exit code."""
+        self.signal(signal.SIGTERM)
+        with trio.move_on_after(GRACE_SECONDS):
+            while self.process.poll() is None:
+                await trio.sleep(0.05)
+        return self.process.poll()
+
+    def kill(self):
+        """End the process at once."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.kill()
+            self.process.wait()
+        self.disturb()
+
+    def log(self):
+        """Return what the process has written."""
+        return self.log_path.read_text() if self.log_path.exists() else ""
+
+    def _settings(self):
+        return {
+            "node_name": self.name,
+            "ip": self.ip,
+            "zone": self.zone,
+            "listen": {
+                "datagram_addr": f"{self.ip}:{PACKET_PORT}",
+                "ready": f"{self.ip}:{READY_PORT}",
+            },
+            "internal_ports": [PEER_PORT, METRICS_PORT],
+            "limits": {"link_mbps": 100},
+            "seeds": ["127.2.0.1:1", "127.2.0.2:1"],
+            "bounds": {
+                "config_apply_ms": 3000,
+                "drain_ms": 3000,
+                "grace_s": GRACE_SECONDS,
+                "flow_lifetime_s": 60,
+            },
+            "platform": {"address": f"{self.ip}:{STORE_PORT}"},
+        }
+
+
+class DirectServer:
+    """A backend server that answers callers directly."""
+
+    def __init__(self, world, number):
+        self.world = world
+        self.number = number
+        self.server_id = f"i-{number:010x}"
+        self.ip = f"127.3.0.{number}"
+        self.zone = f"z{number % 2}"
+        self.flows = {}
+        self.draining_since = None
+        self.is_dark = False
+        self.socket = None
+
+    async def run(self):
+        """Answer until cancelled."""
+        self.socket = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM)
+        with self.socket:
+            await self.socket.bind((self.ip, SERVER_PORT))
+            while True:
+                data, sender = await self.socket.recvfrom(4096)
+                if not self.is_dark:
+                    await self._receive(data, sender[0])
+
+    def entry(self, state="ready"):
+        """Return the server's own entry."""
+        address = f"{self.ip}:{SERVER_PORT}"
+        return server_entry(SERVICE, address, zone=self.zone, state=state)
+
+    async def _receive(self, datagram, node_ip):
+        number, packet = int.from_bytes(datagram[:8], "big"), datagram[8:]
+        if number not in (0, self.number):
+            return
+        self.world.check_unchanged(packet)
+        flow, flags = packet[16:28], packet[28]
+        sequence, ack, length = _fields(packet)
+        if flags & FLAG_SYN:
+            self._check_drain(node_ip)
+            self.flows.setdefault(flow, {"next": 1, "answered": 0})
+            await self._answer(packet, FLAG_SYN | FLAG_ACK, 0, 1)
+            return
+        state = self.flows.get(flow)
+        if state is None:
+            await self._answer(packet, FLAG_RST, 0, 0)
+            return
+        self.world.note_arrival(flow, self)
+        if length and sequence == state["next"]:
+            state["next"] += length
+            state["answered"] += ANSWER_BYTES
+        if length:
+            start = 1 + state["answered"] - ANSWER_BYTES
+            answer = b"a" * ANSWER_BYTES
+            await self._answer(packet, FLAG_ACK, start, state["next"], answer)
+        if flags & FLAG_FIN:
+            del self.flows[flow]
+
+    def _check_drain(self, node_ip):
+        since = self.draining_since
+        if since is None or trio.current_time() - since <= DRAIN_SECONDS:
+            return
+        node = self.world.nodes_by_ip[node_ip]
+        if node.is_calm() and self.world.is_store_calm():
+            seconds = trio.current_time() - since
+            self.world.fail(f"{node.name} opened a flow {seconds:.1f} s after drain")
+
+    async def _answer(self, packet, flags, sequence, ack, data=b""):
+        ends = packet[22:28] + packet[16:22]
+        head = sequence.to_bytes(4, "little") + ack.to_bytes(4, "little")
+        head += b"\1\1\1\1" + packet[12:16] + ends + bytes([flags, 0])
+        head += len(data).to_bytes(2, "little")
+        ip = ".".join(map(str, packet[16:20][::-1]))
+        await self.socket.sendto(head + data, (ip, PACKET_PORT))
+
+
+class Caller:
+    """Opens flows and sends requests, one after the other."""
+
+    def __init__(self, world, index):
+        self.world = world
+        self.index = index
+        self.ip = f"127.1.0.{index + 1}"
+        self.port = 1000
+        self.socket = None
+
+    async def run(self):
+        """Send requests until cancelled."""
+        self.socket = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM)
+        with self.socket:
+            await self.socket.bind((self.ip, PACKET_PORT))
+            while True:
+                await self._use_flow()
+                await trio.sleep(self.world.random.uniform(0.0, 0.1))
+
+    async def _use_flow(self):
+        self.port += 1
+        flow = _FlowState(f"{self.ip}:{self.port}", self.world.service_port())
+        opened_at = trio.current_time()
+        syn = flow.packet(FLAG_SYN)
+        answer = await self._exchange(flow, syn, OPENING_REPEATS, is_opening=True)
+        if answer is None or answer[28] & FLAG_RST:
+            self.world.note_opening(opened_at, flow.service_port, served=False)
+            return
+        self.world.note_opening(opened_at, flow.service_port, served=True)
+        flow.echo, flow.ack = answer[12:16], 1
+        await self._send(flow, flow.packet(FLAG_ACK))
+        for _ in range(self.world.random.choice((1, 1, 8))):
+            answer = await self._exchange(flow, flow.request(), DATA_REPEATS)
+            if answer is None or answer[28] & FLAG_RST:
+                self.world.note_broken(flow, answer)
+                return
+            flow.take_answer()
+            self.world.served.append(trio.current_time())
+            await trio.sleep(self.world.random.uniform(0.0, 0.2))
+        await self._send(flow, flow.packet(FLAG_ACK | FLAG_FIN))
+
+    async def _exchange(self, flow, packet, repeats, is_opening=False):
+        """Send a packet until something comes back; None where nothing does."""
+        with trio.move_on_after(DEADLINE_SECONDS):
+            for copy, wait in enumerate((*repeats, DEADLINE_SECONDS)):
+                if is_opening and copy:
+                    packet = packet[:4] + copy.to_bytes(4, "little") + packet[8:]
+                await self._send(flow, packet)
+                with trio.move_on_after(wait):
+                    return await self._receive(flow, is_opening)
+        return None
+
+    async def _receive(self, flow, is_opening):
+        while True:
+            data, _ = await self.socket.recvfrom(4096)
+            if data[22:28] != flow.caller_end:
+                continue
+            is_reset = data[28] & FLAG_RST
+            wanted = data[28] & FLAG_SYN if is_opening else _fields(data)[2]
+            if is_reset or (wanted and (is_opening or flow.is_new(data))):
+                return data
+
+    async def _send(self, flow, packet):
+        node = self.world.route(self.index, flow.port)
+        if node is not None:
+            self.world.sent.add(packet[:12] + packet[16:])
+            await self.socket.sendto(packet, (node.ip, PACKET_PORT))
+
+
+class _FlowState:
+    """What a caller knows of its flow."""
+
+    def __init__(self, caller, service_port):
+        self.caller = caller
+        self.service_port = service_port
+        ip, _, port = caller.partition(":")
+        self.port = int(port)
+        self.caller_end = encode_end(ip, self.port)
+        self.key = self.caller_end + encode_end("198.18.0.1", service_port)
+        self.echo = bytes(4)
+        self.sequence = 1
+        self.ack = 0
+
+    def packet(self, flags, data=b""):
+        """Return a packet of the flow."""
+        return make_packet(
+            self.caller,
+            flags,
+            sequence=self.sequence if self.ack else 0,
+            ack=self.ack,
+            echo=int.from_bytes(self.echo, "little"),
+            data=data,
+            port=self.service_port,
+        )
+
+    def request(self):
+        """Return a packet with a request."""
+        return self.packet(FLAG_ACK, b"r" * 50)
+
+    def is_new(self, data):
+        """Tell whether a packet holds the answer that is waited for."""
+        return _fields(data)[0] == self.ack
+
+    def take_answer(self):
+        """Go on to the next request."""
+        self.sequence += 50
+        self.ack += ANSWER_BYTES
+
+
+class PlatformWorld:
+    """All parties; collects what broke a promise."""
+
+    def __init__(self, *, nodes=3, servers=4, callers=12, random_state=0):
+        self.random = random.Random(random_state)
+        self.temporary = tempfile.TemporaryDirectory()
+        self.folder = Path(self.temporary.name)
+        self.store = PlatformStore()
+        self.node_count = nodes
+        self.servers = [DirectServer(self, i + 1) for i in range(servers)]
+        self.callers = [Caller(self, i) for i in range(callers)]
+        self.ports = {443}
+        self.port_changed_at = {}
+        self.version = 1
+        self.store_calm_since = 0.0
+        self.sent = set()
+        self.server_by_flow = {}
+        self.served, self.openings, self.broken = [], [], []
+        self.failures = []
+
+    async def run(self, script):
+        """Run everything beside a script; end only what was started here."""
+        self.nodes = [NodeProcess(self, i) for i in range(self.node_count)]
+        self.nodes_by_ip = {node.ip: node for node in self.nodes}
+        self.publish_routes()
+        for server in self.servers:
+            self.store.put(f"servers/{server.server_id}", server.entry())
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.store.run, Endpoint(STORE_IP, STORE_PORT))
+                for party in (*self.servers, *[node.proxy for node in self.nodes]):
+                    nursery.start_soon(party.run)
+                await trio.sleep(0.1)
+                for node in self.nodes:
+                    node.start()
+                for caller in self.callers:
+                    nursery.start_soon(caller.run)
+                await script(self)
+                nursery.cancel_scope.cancel()
+        finally:
+            for node in self.nodes:
+                node.signal(signal.SIGCONT)
+                node.kill()
+
+    def route(self, caller_index, port):
+        """Return the node that the routers choose: one that runs."""
+        usable = [n for n in self.nodes if n.process and n.process.poll() is None]
+        return usable[(caller_index * 31 + port) % len(usable)] if usable else None
+
+    def service_port(self):
+        """Return one of the ports that have a route."""
+        return self.random.choice(sorted(self.ports))
+
+    def publish_routes(self):
+        """Write a new version of the configuration."""
+        self.version += self.random.randrange(1, 4)
+        routes = [("198.18.0.1", port, SERVICE) for port in sorted(self.ports)]
+        self.store.put("op/config", config_entry(self.version, routes))
+
+    def add_port(self, port):
+        """Add a route."""
+        self.ports.add(port)
+        self.port_changed_at[port] = trio.current_time()
+        self.publish_routes()
+
+    def drain(self, server):
+        """Let a server report that it drains."""
+        self.store.put(f"servers/{server.server_id}", server.entry("draining"))
+        server.draining_since = trio.current_time()
+
+    def restore(self, server):
+        """Let a server report that it is ready."""
+        server.draining_since = None
+        server.is_dark = False
+        self.store.put(f"servers/{server.server_id}", server.entry())
+
+    def disturb_store(self):
+        """Take note that the store is not stable now."""
+        self.store_calm_since = trio.current_time()
+
+    def is_store_calm(self):
+        """Tell whether rules with a time bound hold for the store."""
+        return trio.current_time() - self.store_calm_since > TOUCH_SECONDS
+
+    def fail(self, text):
+        """Take note of a broken promise."""
+        self.failures.append(f"{trio.current_time():.2f}: {text}")
+
+    def check_unchanged(self, packet):
+        """Check that a caller wrote the packet as it arrived."""
+        if packet[:12] + packet[16:] not in self.sent:
+            self.fail(f"a server got a packet that no caller sent: {packet.hex()}")
+
+    def note_arrival(self, flow, server):
+        """Check that a flow stays at one server."""
+        known = self.server_by_flow.setdefault(flow, server)
+        if known is not server:
+            self.fail(f"a flow moved from {known.server_id} to {server.server_id}")
+
+    def note_broken(self, flow, answer):
+        """Check that only flows of servers that don't answer were reset."""
+        self.broken.append(trio.current_time())
+        server = self.server_by_flow.get(flow.key)
+        is_reset = answer is not None and len(answer) == HEADER_BYTES
+        own_reset = is_reset and answer[8:12] == bytes(4)
+        if own_reset and server is not None and not self._was_dark(server):
+            self.fail(f"a flow of living {server.server_id} was reset: {flow.caller}")
+
+    def _was_dark(self, server):
+        return server.is_dark or trio.current_time() < getattr(server, "lit_at", 0) + 4
+
+    def note_opening(self, at, port, served):
+        """Check that a new route is served in time."""
+        self.openings.append((at, served))
+        changed_at = self.port_changed_at.get(port)
+        if served or changed_at is None or at - changed_at <= CONFIG_SECONDS:
+            return
+        calm = all(node.is_calm() for node in self.nodes) and self.is_store_calm()
+        if calm and at - changed_at < CONFIG_SECONDS + TOUCH_SECONDS:
+            self.fail(f"a flow to port {port} failed {at - changed_at:.1f} s after")
+
+    def served_since(self, seconds):
+        """Count the requests that were served lately."""
+        start = trio.current_time() - seconds
+        return sum(at >= start for at in self.served)
+
+
+def _fields(packet):
+    """Return the sequence number, the acknowledgement and the data's length."""
+    sequence = int.from_bytes(packet[:4], "little")
+    ack = int.from_bytes(packet[4:8], "little")
+    return sequence, ack, int.from_bytes(packet[30:32], "little")
--- /dev/null
+++ b/tests/steps/platform_node_steps.py
@@ -0,0 +1,122 @@
+"""Steps for real nodes as processes."""
+
+import json
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+import trio
+from behave import given, then, when
+from fakes.platform_world import REPOSITORY, PlatformWorld
+
+WARM_UP_SECONDS = 2.5
+AFTER_SECONDS = 3.0
+
+
+@given("real nodes that serve callers")
+def given_world(context):
+    context.world = PlatformWorld()
+    context.add_cleanup(context.world.temporary.cleanup)
+
+
+def play(context, action):
+    """Run the world, act once it is warm, and let it go on for a while."""
+
+    async def script(world):
+        await trio.sleep(WARM_UP_SECONDS)
+        context.acted_at = trio.current_time()
+        await action(world)
+        await trio.sleep(AFTER_SECONDS)
+
+    trio.run(context.world.run, script)
+
+
+@when("a real node is stopped as planned")
+def when_stopped(context):
+    async def stop(world):
+        context.exit_code = await world.nodes[0].stop()
+
+    play(context, stop)
+
+
+@when("all real nodes are killed and started again")
+def when_killed(context):
+    async def restart(world):
+        for node in world.nodes:
+            node.kill()
+        for node in world.nodes:
+            node.start()
+
+    play(context, restart)
+
+
+@when("a server of theirs falls silent")
+def when_silent(context):
+    async def silence(world):
+        world.servers[0].is_dark = True
+        await trio.sleep(2.0)
+        context.acted_at = trio.current_time()
+
+    play(context, silence)
+
+
+@then("it exits with 0 within the grace period")
+def then_exits(context):
+    assert context.exit_code == 0, context.world.nodes[0].log()[-2000:]
+
+
+@then("no promise is broken and no flow broke")
+def then_whole(context):
+    assert context.world.failures == []
+    assert context.world.broken == []
+    assert len(context.world.served) > 100, len(context.world.served)
+
+
+@then("no promise is broken")
+def then_kept(context):
+    assert context.world.failures == []
+
+
+@then("requests are served again within {seconds:g} s")
+@then("its callers are served again within {seconds:g} s")
+def then_served(context, seconds):
+    start = context.acted_at + seconds
+    late = [served for at, served in context.world.openings if at >= start]
+    assert late and all(late), (len(late), late.count(False))
+
+
+def start_node(arguments, settings):
+    """Start a node that ends at once; return its exit code and errors."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "settings.json"
+        path.write_text(json.dumps(settings))
+        site = [p for p in sys.path if p.endswith("site-packages")]
+        ended = subprocess.run(
+            [sys.executable, "-S", str(REPOSITORY / "deploy/__main__.py"), *arguments],
+            env={
+                "HORNBEAMDEAL_NODE_FILE": str(path),
+                "PYTHONPATH": ":".join([str(REPOSITORY), *site]),
+            },
+            capture_output=True,
+            text=True,
+            timeout=20,
+            check=False,
+        )
+    return ended.returncode, ended.stderr
+
+
+@when("a node is started with a settings file without a store")
+def when_faulty_settings(context):
+    context.ended = start_node(["127.2.9.1:8172"], {"node_name": "n"})
+
+
+@when("a node is started at an address that it can't have")
+def when_bad_address(context):
+    context.ended = start_node(["192.0.2.1:8172"], {})
+
+
+@then('the node exits with {code:d} and names "{text}"')
+def then_ended(context, code, text):
+    assert context.ended[0] == code, context.ended
+    assert text in context.ended[1], context.ended
