--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,4 @@
 
 soak: setup
 	$(BIN)/python tests/run.py --soak
+	cd tests && PYTHONPATH=.. ../$(BIN)/python soak.py --seeds=10
--- a/tests/fakes/platform_world.py
+++ b/tests/fakes/platform_world.py
@@ -70,9 +70,13 @@
             "HORNBEAMDEAL_NODE_FILE": str(path),
         }
         command = [sys.executable, "-S", str(REPOSITORY / "deploy/__main__.py")]
+        arguments = [f"{self.ip}:{PACKET_PORT}"]
+        if self.world.weakened:
+            command[-1] = str(REPOSITORY / "tests/fakes/weakened_node.py")
+            arguments.append(self.world.weakened)
         with open(self.log_path, "ab") as log:
             self.process = subprocess.Popen(
-                [*command, f"{self.ip}:{PACKET_PORT}"],
+                [*command, *arguments],
                 env=environment,
                 stdout=log,
                 stderr=subprocess.STDOUT,
@@ -176,10 +180,11 @@
             await self._answer(packet, FLAG_SYN | FLAG_ACK, 0, 1)
             return
         state = self.flows.get(flow)
+        if state is not None or flow in self.world.server_by_flow:
+            self.world.note_arrival(flow, self)
         if state is None:
             await self._answer(packet, FLAG_RST, 0, 0)
             return
-        self.world.note_arrival(flow, self)
         if length and sequence == state["next"]:
             state["next"] += length
             state["answered"] += ANSWER_BYTES
@@ -336,6 +341,7 @@
         self.server_by_flow = {}
         self.served, self.openings, self.broken = [], [], []
         self.failures = []
+        self.weakened = ""
 
     async def run(self, script):
         """Run everything beside a script; end only what was started here."""
--- /dev/null
+++ b/tests/soak.py
@@ -0,0 +1,210 @@
+"""Randomized soak of real nodes; see docs/soak.md.
+
+Run from this folder: `PYTHONPATH=.. python soak.py --seeds=50`.
+"""
+
+import random
+import signal
+import sys
+from pathlib import Path
+
+import fire
+import trio
+from fakes.platform_world import PlatformWorld
+
+WARM_UP_SECONDS = 3.0
+FAULT_SECONDS = 12.0
+# What `recovery_s` leaves after the last fault has ended, at the most.
+RECOVERY_SECONDS = 6.0
+RECOVERED_SHARE = 0.9
+FIRST_NEW_PORT = 500
+# Seeds that failed once, with the cause.
+REGRESSION_SEEDS: tuple[int, ...] = ()
+
+
+class Faults:
+    """Draws faults and undoes each after a while; several overlap."""
+
+    def __init__(self, world, seed):
+        self.world = world
+        self.random = random.Random(seed)
+        self.next_port = FIRST_NEW_PORT
+        self.log = []
+
+    async def run(self):
+        """Play faults until the time is over, and wait until all are undone."""
+        kinds = [
+            self.kill_node,
+            self.stop_node,
+            self.pause_node,
+            self.reload_node,
+            self.kill_all_nodes,
+            self.harm_proxy,
+            self.harm_store,
+            self.compact_store,
+            self.drain_server,
+            self.darken_server,
+            self.add_route,
+            self.add_route,
+            self.storm_of_versions,
+        ]
+        end = trio.current_time() + FAULT_SECONDS
+        async with trio.open_nursery() as nursery:
+            while trio.current_time() < end:
+                kind = self.random.choice(kinds)
+                self.log.append(f"{trio.current_time():.2f} {kind.__name__}")
+                nursery.start_soon(kind)
+                await trio.sleep(self.random.uniform(0.1, 1.5))
+
+    def _node(self):
+        return self.random.choice(self.world.nodes)
+
+    async def kill_node(self):
+        node = self._node()
+        node.kill()
+        await trio.sleep(self.random.uniform(0.0, 2.0))
+        self._start(node)
+
+    async def stop_node(self):
+        node = self._node()
+        if node.process.poll() is None:
+            await node.stop()
+            self._start(node)
+
+    async def kill_all_nodes(self):
+        for node in self.world.nodes:
+            node.kill()
+        await trio.sleep(self.random.uniform(0.0, 1.0))
+        for node in self.world.nodes:
+            self._start(node)
+
+    def _start(self, node):
+        if node.process.poll() is not None:
+            node.start()
+
+    async def pause_node(self):
+        node = self._node()
+        node.signal(signal.SIGSTOP)
+        await trio.sleep(self.random.uniform(0.2, 4.0))
+        node.signal(signal.SIGCONT)
+
+    async def reload_node(self):
+        self._node().signal(signal.SIGHUP)
+
+    async def harm_proxy(self):
+        node = self._node()
+        node.disturb()
+        if self.random.random() < 0.3:
+            node.proxy.delay = self.random.uniform(0.05, 0.6)
+        else:
+            node.proxy.mode = self.random.choice(["silent", "deaf", "reset", "refuse"])
+        await trio.sleep(self.random.uniform(0.5, 5.0))
+        node.proxy.mode, node.proxy.delay = "open", 0.0
+        node.disturb()
+
+    async def harm_store(self):
+        store = self.world.store
+        self.world.disturb_store()
+        kind = self.random.choice(["silent", "503", "429", "slow"])
+        store.is_silent = kind == "silent"
+        store.status = int(kind) if kind.isdigit() else 200
+        store.delay = 0.3 if kind == "slow" else 0.0
+        await trio.sleep(self.random.uniform(0.5, 5.0))
+        store.is_silent, store.status, store.delay = False, 200, 0.0
+        self.world.disturb_store()
+
+    async def compact_store(self):
+        self.world.disturb_store()
+        self.world.store.compact()
+
+    async def drain_server(self):
+        server = self.random.choice(self.world.servers[:2])
+        self.world.drain(server)
+        await trio.sleep(self.random.uniform(3.5, 5.0))
+        self.world.restore(server)
+
+    async def darken_server(self):
+        server = self.random.choice(self.world.servers[2:])
+        server.is_dark = True
+        await trio.sleep(self.random.uniform(1.0, 4.0))
+        server.is_dark = False
+        server.lit_at = trio.current_time()
+
+    async def add_route(self):
+        self.world.add_port(self.next_port)
+        self.next_port += 1
+
+    async def storm_of_versions(self):
+        for _ in range(10):
+            self.world.publish_routes()
+            await trio.sleep(0.1)
+
+
+def play(seed, nodes=3, callers=12, weakened=""):
+    """Play one seed; return what broke and the faults that were played."""
+    world = PlatformWorld(nodes=nodes, callers=callers, random_state=seed)
+    world.weakened = weakened
+    faults = Faults(world, seed)
+
+    async def script(world):
+        await trio.sleep(WARM_UP_SECONDS)
+        await faults.run()
+        for node in world.nodes:
+            node.signal(signal.SIGCONT)
+            faults._start(node)
+        await trio.sleep(RECOVERY_SECONDS)
+        start = trio.current_time()
+        await trio.sleep(2.0)
+        late = [served for at, served in world.openings if at >= start]
+        share = sum(late) / max(len(late), 1)
+        if share < RECOVERED_SHARE:
+            world.fail(f"{share:.2f} of new flows opened after recovery")
+
+    with world.temporary:
+        trio.run(world.run, script)
+        logs = {node.name: node.log() for node in world.nodes}
+    for name, log in logs.items():
+        if "Traceback" in log:
+            text = log[log.index("Traceback") :][:500]
+            world.failures.append(f"{name} wrote a traceback: {text}")
+    return world, faults, logs
+
+
+def main(seeds=0, first=1, nodes=3, callers=12, weakened="", out="", quiet=False):
+    """Play seeds; exit with 1 if any broke a promise.
+
+    Args:
+        seeds: Number of seeds after the regression seeds.
+        first: First seed.
+        nodes: Node processes.
+        callers: Callers.
+        weakened: Mechanism to leave out: freshness, drain or handle.
+        out: Folder for the logs of seeds that failed.
+        quiet: Print failures only.
+    """
+    failed = []
+    for seed in (*REGRESSION_SEEDS, *range(first, first + seeds)):
+        world, faults, logs = play(seed, nodes, callers, weakened)
+        if not quiet or world.failures:
+            print(
+                f"seed {seed}: {len(world.served)} requests served,"
+                f" {len(world.broken)} broken, {len(faults.log)} faults,"
+                f" {len(world.failures)} failures",
+                flush=True,
+            )
+        if world.failures:
+            failed.append(seed)
+            print("\n".join(world.failures[:5] + faults.log), flush=True)
+            _keep(out, seed, logs)
+    print(f"{len(failed)} of {len(REGRESSION_SEEDS) + seeds} seeds failed: {failed}")
+    sys.exit(1 if failed else 0)
+
+
+def _keep(out, seed, logs):
+    if out:
+        for name, log in logs.items():
+            Path(out, f"seed-{seed}-{name}.log").write_text(log)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
