Believe a server's death only on recent signs

Change: signs older than 2 s no longer show death; a host that sees a server come back tells its peers.

--- a/hornbeamdeal/dsr/_evidence.py
+++ b/hornbeamdeal/dsr/_evidence.py
@@ -72,7 +72,11 @@
         return sum(sign.repetitions == 0 for sign in self.signs)
 
     def shows_death(self, now: float) -> bool:
-        """Tell whether a living server would have been noticed."""
+        """Tell whether a living server would have been noticed.
+
+        Old signs tell nothing: the server may have come back unnoticed.
+        """
+        self.signs = [s for s in self.signs if now - s.sent_at < SIGN_SECONDS]
         if not self.signs:
             return False
         first_sent = min(sign.sent_at for sign in self.signs)
@@ -117,17 +121,22 @@
     so that their callers go on elsewhere at once.
     """
 
-    __slots__ = ("evidence_by_id", "_changes", "_unsent")
+    __slots__ = ("evidence_by_id", "_changes", "_recovered", "_unsent")
 
     def __init__(self):
         self.evidence_by_id: dict[str, ServerEvidence] = {}
         self._changes: list[tuple[str, str, dict[str, int]]] = []
+        self._recovered: list[str] = []
         self._unsent: list[tuple[str, Sign]] = []
 
     def note_own_progress(self, server_id: str, now: float) -> None:
         """Take note that a flow at this host proved a server alive."""
-        self._evidence_of(server_id).own_progress_at = now
+        evidence = self._evidence_of(server_id)
+        evidence.own_progress_at = now
+        was_out = evidence.is_out
         self.note_progress(server_id, now)
+        if was_out and not evidence.is_out:
+            self._recovered.append(server_id)
 
     def note_progress(self, server_id: str, at: float) -> None:
         """Take note that a server was alive at a time."""
@@ -135,14 +144,10 @@
         if at <= evidence.progress_at:
             return
         evidence.progress_at = at
-        if evidence.signs:
-            evidence.signs = [s for s in evidence.signs if s.sent_at > at]
+        evidence.signs = [s for s in evidence.signs if s.sent_at > at]
         if evidence.is_out and evidence.openings() < OUT_OPENINGS:
             evidence.is_out = evidence.is_dead = False
             self._changes.append((server_id, "server_back", {}))
-        elif evidence.is_dead and not evidence.shows_death(at):
-            evidence.is_dead = False
-            self._changes.append((server_id, "server_back", {}))
 
     def note_sign(self, server_id: str, sign: Sign, now: float) -> None:
         """Take note of a packet that a server has not reacted to."""
@@ -161,18 +166,20 @@
     def is_out(self, server_id: str) -> bool:
         """Tell whether a server gets no new flows."""
         evidence = self.evidence_by_id.get(server_id)
-        return evidence is not None and (evidence.is_out or evidence.is_dead)
+        return evidence is not None and evidence.is_out
 
     def is_dead(self, server_id: str, now: float) -> bool:
         """Tell whether a server's flows are lost."""
         evidence = self.evidence_by_id.get(server_id)
-        if evidence is None:
+        if evidence is None or not (evidence.signs or evidence.is_dead):
             return False
-        if not evidence.is_dead and evidence.shows_death(now):
-            evidence.is_dead = True
+        shows_death = evidence.shows_death(now)
+        if shows_death and not evidence.is_dead:
+            evidence.is_out = True
             evidence.trial_due = now + TRIAL_SECONDS
             self._note_change(server_id, "server_dead", evidence, now)
-        return evidence.is_dead
+        evidence.is_dead = shows_death
+        return shows_death
 
     def progress_at(self, server_id: str) -> float:
         """Return when a server last proved alive."""
@@ -188,7 +195,7 @@
         """Return a server that one opening packet may try again."""
         for server in servers:
             evidence = self.evidence_by_id.get(server.server_id)
-            if evidence is None or not (evidence.is_out or evidence.is_dead):
+            if evidence is None or not evidence.is_out:
                 continue
             if now >= evidence.trial_due:
                 evidence.trial_due = now + TRIAL_SECONDS
@@ -204,6 +211,11 @@
         unsent, self._unsent = self._unsent, []
         return unsent
 
+    def take_recovered(self) -> list[str]:
+        """Return servers that came back here, of which peers have not been told."""
+        recovered, self._recovered = self._recovered, []
+        return recovered
+
     def take_changes(self) -> list[tuple[str, str, dict[str, int]]]:
         """Return servers that went out or came back, the change, and the reason."""
         changes, self._changes = self._changes, []
--- a/hornbeamdeal/dsr/_fleet.py
+++ b/hornbeamdeal/dsr/_fleet.py
@@ -157,9 +157,9 @@
 
     def _tell_signs(self, now: float) -> list[Any]:
         unsent = self.evidence.take_unsent()
-        if not unsent:
-            return []
-        signs_by_id: dict[str, list[Any]] = {}
+        signs_by_id: dict[str, list[Any]] = {
+            server_id: [] for server_id in self.evidence.take_recovered()
+        }
         for server_id, sign in unsent:
             age_ms = round(1000 * (now - sign.sent_at))
             entry = peer_types.Sign(age_ms, sign.caller, sign.repetitions)
@@ -168,6 +168,8 @@
             peer_types.ServerSign(server_id, entries, self._progress_ms(server_id, now))
             for server_id, entries in signs_by_id.items()
         ]
+        if not signs:
+            return []
         return self._tell(peer_types.ServerSigns(signs))
 
     def _tell(self, message: Any) -> list[Any]:
--- a/tests/dsr/evidence.feature
+++ b/tests/dsr/evidence.feature
@@ -67,6 +67,22 @@
     Then the server is not dead after 0.4 s
     And the server is not out
 
+  Scenario: death is not believed on old signs
+    Guards against a reset long after a cut has healed, by a host whose own flows
+    had not used the server since (servers-and-crowds on tandem-aqp).
+    Given evidence on a server that was alive 1 s ago
+    When openings of callers a,b get no answer
+    And a peer sees data of caller c repeated 1 time
+    Then the server is dead after 0.4 s
+    And the server is not dead after 2.5 s
+    And the server is out
+
+  Scenario: peers are told of a server that is back
+    Given evidence on a server that was alive 1 s ago
+    When openings of callers a,b get no answer
+    And a flow of this host proves the server alive
+    Then peers are told that it is alive
+
   Scenario: a server that is out is tried again by one flow at a time
     Guards against a rush of flows on a server that may still be gone.
     Given evidence on a server that was alive 1 s ago
--- a/tests/steps/dsr_evidence_steps.py
+++ b/tests/steps/dsr_evidence_steps.py
@@ -51,6 +51,16 @@
     context.book.note_progress(SERVER.server_id, context.now)
 
 
+@when("a flow of this host proves the server alive")
+def when_own_progress(context):
+    context.book.note_own_progress(SERVER.server_id, context.now)
+
+
+@then("peers are told that it is alive")
+def then_told(context):
+    assert context.book.take_recovered() == [SERVER.server_id]
+
+
 @when("peers report that the flow's server leaves openings of 3 callers unanswered")
 def when_peers_report(context):
     now = context.host.clock.monotonic()
