Remember the removal of servers that were not known

Cause: with updates in random order a removal of an unknown server was dropped, and the older listing that came after it listed the server for good. Change: the catalog keeps the revision of every removal.

--- a/hornbeamdeal/dsr/_catalog.py
+++ b/hornbeamdeal/dsr/_catalog.py
@@ -46,6 +46,7 @@
         "servers_by_id",
         "_changed_at_by_id",
         "_placeable_by_service",
+        "_removed_revisions_by_id",
     )
 
     def __init__(self):
@@ -58,6 +59,7 @@
         self.handle_owners: dict[int, Server] = {}
         self._changed_at_by_id: dict[str, float] = {}
         self._placeable_by_service: dict[str, list[Server]] = {}
+        self._removed_revisions_by_id: dict[str, int] = {}
 
     @property
     def is_complete(self) -> bool:
@@ -140,8 +142,7 @@
         known = self.servers_by_id.get(server.server_id)
         if known is not None and known.revision >= server.revision:
             return False
-        removal = self.removals_by_id.get(server.server_id)
-        if removal is not None and removal.revision >= server.revision:
+        if self._removed_revisions_by_id.get(server.server_id, 0) >= server.revision:
             return False
         self.removals_by_id.pop(server.server_id, None)
         self.servers_by_id[server.server_id] = server
@@ -150,7 +151,12 @@
 
     def _remove(self, server_id: str, revision: int, now: float) -> Server | None:
         known = self.servers_by_id.get(server_id)
-        if known is None or known.revision > revision:
+        if known is not None and known.revision > revision:
+            return None
+        # News may overtake each other, so a server may be gone before it is known.
+        last = self._removed_revisions_by_id.get(server_id, 0)
+        self._removed_revisions_by_id[server_id] = max(last, revision)
+        if known is None:
             return None
         del self.servers_by_id[server_id]
         self.removals_by_id[server_id] = Removal(known, revision, now)
@@ -164,6 +170,7 @@
         for server_id, removal in list(self.removals_by_id.items()):
             if now - removal.removed_at > FORGET_SECONDS:
                 del self.removals_by_id[server_id]
+                self._removed_revisions_by_id.pop(server_id, None)
                 self._changed_at_by_id.pop(server_id, None)
         gone = [removal.server for removal in self.removals_by_id.values()]
         listed = sorted(self.servers_by_id.values(), key=lambda s: s.server_id)
--- /dev/null
+++ b/tests/steps/dsr_catalog_steps.py
@@ -0,0 +1,117 @@
+"""Steps for the catalog."""
+
+import random
+
+from behave import given, then, when
+from fakes.dsr_world import make_routes, make_server
+
+from hornbeamdeal.dsr import Catalog, Update
+
+SERVERS = 4
+
+
+def make_update(revision, base=None, servers=(), removed=None, routes=None):
+    return Update(
+        base_revision=base,
+        revision=revision,
+        servers=list(servers),
+        removed=removed,
+        routes=routes,
+    )
+
+
+@given("a catalog with version {version:d}")
+def given_version(context, version):
+    context.catalog = Catalog()
+    update = make_update(3, servers=[make_server(1)], routes=make_routes(version))
+    context.catalog.apply(update, 0.0)
+
+
+@given("a catalog from which server 1 was removed at revision {revision:d}")
+def given_removed(context, revision):
+    given_version(context, 7)
+    server_id = make_server(1).server_id
+    update = make_update(revision, base=3, removed={server_id: revision})
+    context.catalog.apply(update, 1.0)
+
+
+@when("a full copy with version {version:d} is applied")
+def when_full_copy(context, version):
+    update = make_update(2, servers=[make_server(1)], routes=make_routes(version))
+    context.catalog.apply(update, 1.0)
+
+
+@when(
+    "a full copy of revision {revision:d} that lists server 1 of revision {own:d} is"
+    " applied"
+)
+def when_stale_copy(context, revision, own):
+    update = make_update(revision, servers=[make_server(1, revision=own)])
+    context.catalog.apply(update, 2.0)
+
+
+@when("an update lists server 1 of revision {revision:d}")
+def when_listed(context, revision):
+    server = make_server(1, revision=revision)
+    context.catalog.apply(make_update(revision, base=9, servers=[server]), 2.0)
+
+
+@then("the catalog has version {version:d}")
+def then_version(context, version):
+    assert context.catalog.routes.version == version
+
+
+@then("server 1 is not listed")
+def then_not_listed(context):
+    assert make_server(1).server_id not in context.catalog.servers_by_id
+
+
+@then("server 1 is listed")
+def then_listed(context):
+    assert make_server(1).server_id in context.catalog.servers_by_id
+
+
+@then("an update on revision {revision:d} can't be applied")
+def then_refused(context, revision):
+    update = make_update(revision + 1, base=revision)
+    assert not context.catalog.can_apply(update)
+
+
+def draw_history(generator):
+    """Return single changes, each of a server or of the routes."""
+    updates = []
+    for revision in range(2, 22):
+        server = make_server(generator.randrange(1, SERVERS + 1), revision=revision)
+        kind = generator.choice(["list", "drain", "remove", "routes"])
+        server.is_draining = kind == "drain"
+        if kind == "routes":
+            update = make_update(revision, base=0, routes=make_routes(revision))
+        elif kind == "remove":
+            update = make_update(revision, 0, removed={server.server_id: revision})
+        else:
+            update = make_update(revision, base=0, servers=[server])
+        updates.append(update)
+    return updates
+
+
+def result_of(updates):
+    """Return what a catalog holds after updates in an order."""
+    catalog = Catalog()
+    for update in updates:
+        catalog.apply(update, 0.0)
+    version = catalog.routes.version if catalog.routes else 0
+    servers = {i: (s.revision, s.is_draining) for i, s in catalog.servers_by_id.items()}
+    return version, servers
+
+
+@then(
+    "{count:d} random histories end alike however their updates are ordered and"
+    " repeated"
+)
+def then_alike(context, count):
+    for seed in range(count):
+        generator = random.Random(seed)
+        history = draw_history(generator)
+        shuffled = history + generator.sample(history, 5)
+        generator.shuffle(shuffled)
+        assert result_of(shuffled) == result_of(history), f"seed {seed}"
