Get the first catalog from a peer while the store is away; survive single faults

Cause: a host that started during an outage of the store had no catalog until the store came back, although its peers had one, and joined its peers only after that. A packet or message that met a fault of the program ended the process.

Change: a host without a catalog asks a random peer, and does not take what it gets for current; faults of one datagram are logged and counted.

Conclusion: new scenarios for both.

--- a/hornbeamdeal/dsr/_catalog_reader.py
+++ b/hornbeamdeal/dsr/_catalog_reader.py
@@ -105,19 +105,21 @@
                 await self._read()
 
     async def _load_first(self) -> None:
+        """Read the catalog, unless the start or a peer has brought it already."""
         while not self.catalog.is_complete:
             started = self.clock.monotonic()
             try:
-                self._apply(await self.source.load(may_be_stale=True))
+                update = await self.source.load(may_be_stale=True)
             except SourceError as error:
                 self.journal.event("load_failed", reason=error.reason, detail=error)
                 await trio.sleep(LOAD_RETRY_SECONDS)
-            else:
-                seconds = round(self.clock.monotonic() - started, 3)
-                self._log_loaded(seconds, may_be_stale=True)
-        # A stale copy counts as current until the usual age, so that all hosts
-        # that start together leave the first fresh read to one of them.
-        self.catalog.confirm(self.clock.monotonic())
+                continue
+            self._apply(update)
+            # A stale copy counts as current until the usual age, so that all
+            # hosts that start together leave the first fresh read to one of them.
+            now = self.clock.monotonic()
+            self.catalog.confirm(now)
+            self._log_loaded(round(now - started, 3), may_be_stale=True)
 
     async def _read(self) -> None:
         was_reading = self.duty.is_reading
--- a/hornbeamdeal/dsr/_fleet.py
+++ b/hornbeamdeal/dsr/_fleet.py
@@ -75,6 +75,9 @@
         if self.membership.superseded_:
             self.membership = self._rejoin()
         self._take_members()
+        if not self.catalog.is_complete and self._peers:
+            # The store may be away just when this host starts.
+            actions += self._ask(self._random.choice(self._peers).endpoint, now)
         return actions + self._tell_signs(now)
 
     def handle(self, event: Any, now: float) -> list[Any]:
--- a/hornbeamdeal/dsr/_forwarder.py
+++ b/hornbeamdeal/dsr/_forwarder.py
@@ -138,7 +138,7 @@
 
     def _place(self, segment: Segment, route: Route, flow: Flow, now: float) -> None:
         if flow.tried:
-            self._strike(flow, segment, now)
+            self._note_unanswered(flow, segment, now)
         flow.copies = segment.copy_number
         service = self._pick_service(route)
         listed = self.catalog.placeable(service)
@@ -170,7 +170,7 @@
             age_ms=round(1000 * self.catalog.age(now)),
         )
 
-    def _strike(self, flow: Flow, segment: Segment, now: float) -> None:
+    def _note_unanswered(self, flow: Flow, segment: Segment, now: float) -> None:
         last = flow.tried[-1]
         caller = hash_caller(segment)
         self.evidence.note_sign(last.server_id, Sign(flow.sent_at, caller, 0), now)
--- a/hornbeamdeal/dsr/_packet_port.py
+++ b/hornbeamdeal/dsr/_packet_port.py
@@ -36,4 +36,18 @@
             data = packet_socket.recv(MAXIMUM_DATAGRAM_BYTES)
         except BlockingIOError:
             return
-        forwarder.receive(data, now)
+        try:
+            forwarder.receive(data, now)
+        except Exception as error:
+            # The routers may hand the same packet to every host in turn, so one
+            # that meets a fault must not end the process.
+            report_fault(forwarder.journal, error)
+
+
+def report_fault(journal: Journal, error: Exception) -> None:
+    """Log and count a fault of the program that concerns one datagram."""
+    # Not needed at the start, and it takes long to load.
+    from traceback import format_exception
+
+    journal.count("unexpected_errors", type(error).__name__)
+    journal.event("unexpected_error", detail="".join(format_exception(error)))
--- a/hornbeamdeal/dsr/_peering.py
+++ b/hornbeamdeal/dsr/_peering.py
@@ -15,6 +15,7 @@
 
 from ._base import Journal
 from ._fleet import Fleet
+from ._packet_port import report_fault
 from ._records import RouteTable, Update
 
 TICK_SECONDS = 0.1
@@ -79,7 +80,11 @@
             Endpoint(sender.ip, self.listen.port),
             datagram.message,
         )
-        self._carry_out(self.fleet.handle(event, self.clock.monotonic()))
+        try:
+            self._carry_out(self.fleet.handle(event, self.clock.monotonic()))
+        except Exception as error:
+            # A message with missing fields must not end the process.
+            report_fault(self.journal, error)
 
     def _carry_out(self, actions: list[Any]) -> None:
         encoded: dict[int, bytes] = {}
--- a/hornbeamdeal/platform/_service.py
+++ b/hornbeamdeal/platform/_service.py
@@ -16,6 +16,8 @@
 # The settings file may change without a signal.
 SETTINGS_CHECK_SECONDS = 2.0
 CATALOG_CHECK_SECONDS = 0.05
+# A host that has no catalog by then asks its peers for one.
+CATALOG_PATIENCE_SECONDS = 0.5
 
 
 class SettingsFile:
@@ -87,8 +89,9 @@
     settings: NodeSettings, node: Node, importer: ForwardingImporter
 ) -> None:
     """Load what peers need once callers are served, then talk to them."""
-    while not node.catalog.is_complete:
-        await trio.sleep(CATALOG_CHECK_SECONDS)
+    with trio.move_on_after(CATALOG_PATIENCE_SECONDS):
+        while not node.catalog.is_complete:
+            await trio.sleep(CATALOG_CHECK_SECONDS)
     from ._assembly import make_peering
 
     peering = make_peering(settings, node)
--- a/hornbeamdeal/platform/_startup.py
+++ b/hornbeamdeal/platform/_startup.py
@@ -21,12 +21,15 @@
 
 def load_catalog(store: Endpoint, forwarder: Forwarder, journal: Journal) -> None:
     """Read the catalog once; where it fails, the node's own reads go on."""
-    source = StoreSource(client=BlockingHttpClient(endpoint=store), journal=journal)
+    client = BlockingHttpClient(endpoint=store)
+    source = StoreSource(client=client, journal=journal)
     try:
         update = run_blocking(source.load(may_be_stale=True))
     except SourceError as error:
         journal.event("load_failed", reason=error.reason, detail=error)
         return
+    finally:
+        client.close()
     now = time.monotonic()
     forwarder.catalog.apply(update, now)
     forwarder.catalog.confirm(now)
--- a/tests/dsr/fleet.feature
+++ b/tests/dsr/fleet.feature
@@ -73,3 +73,8 @@
   Scenario: a server that is drained while the reader dies gets no new flows
     Given a fleet of 7 hosts whose reader is killed at 10 s as a server is drained
     Then every host knows that it is draining within 2.5 s
+
+  Scenario: a host that starts while the store is away gets the catalog from a peer
+    Given a fleet of 7 hosts in which host 3 starts again at 10 s as the store goes down
+    Then host 3 has a catalog within 2 s
+    And it does not take that for current
--- a/tests/dsr/forwarding.feature
+++ b/tests/dsr/forwarding.feature
@@ -123,3 +123,9 @@
   Scenario: new flows are spread evenly over a zone's servers
     Given a dsr host that knows servers 1,2,3
     Then 30 new flows within a second differ by at most one between servers
+
+  Scenario: a fault that one packet meets does not end the process
+    Given a dsr host that knows servers 1,2,3
+    When a packet that meets a fault waits before an opening packet
+    Then the opening packet is forwarded
+    And the fault is logged
--- a/tests/fakes/dsr_fleet_world.py
+++ b/tests/fakes/dsr_fleet_world.py
@@ -154,8 +154,9 @@
 class FleetHost:
     """One host: catalog, reader and messages."""
 
-    def __init__(self, world, index, zone):
+    def __init__(self, world, index, zone, starts=1):
         self.world = world
+        self.start_delay = START_SPREAD_SECONDS if starts == 1 else 0.0
         self.host_id = f"host-{index:03d}"
         self.endpoint = Endpoint(f"10.0.{index // 200}.{index % 200 + 1}", PEER_PORT)
         clock = TrioClock()
@@ -173,7 +174,7 @@
             evidence=self.evidence,
             journal=self.journal,
             make_membership=lambda rejoins: Membership(
-                own=EntryHost(self.host_id, index + 1, self.endpoint, zone),
+                own=EntryHost(self.host_id, starts, self.endpoint, zone),
                 seeds=[seed for seed in seeds if seed != self.endpoint],
                 random_state=index,
             ),
@@ -193,7 +194,7 @@
     async def run(self):
         """Read and talk until killed."""
         with self.scope:
-            await trio.sleep(self.world.random.uniform(0, START_SPREAD_SECONDS))
+            await trio.sleep(self.world.random.uniform(0, self.start_delay))
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self.reader.run)
                 while True:
@@ -268,6 +269,14 @@
 
         trio.run(main, clock=MockClock(autojump_threshold=0))
 
+    def start_again(self, index):
+        """Start a new process of a host that was killed; return it."""
+        zone = self.hosts[index].fleet.membership.own.zone
+        host = self.hosts[index] = FleetHost(self, index, zone, starts=2)
+        self.hosts_by_endpoint[host.endpoint] = host
+        self.nursery.start_soon(host.run)
+        return host
+
     def send(self, sender, action):
         """Carry a message, or lose it."""
         if isinstance(action.message, peer_types.CatalogNews):
--- a/tests/steps/dsr_fleet_steps.py
+++ b/tests/steps/dsr_fleet_steps.py
@@ -186,6 +186,38 @@
     context.world.play(script, RUN_SECONDS)
 
 
+@given(
+    "a fleet of {hosts:d} hosts in which host {index:d} starts again at 10 s as the store"
+    " goes down"
+)
+def given_start_without_store(context, hosts, index):
+    async def script(world):
+        await trio.sleep(PUBLISHED_AT)
+        world.store.is_down = True
+        world.store.compact()
+        world.hosts[index].kill()
+        context.late = world.start_again(index)
+        while not context.late.catalog.is_complete:
+            await trio.sleep(0.01)
+        context.complete_at = trio.current_time()
+        context.age = context.late.catalog.age(context.complete_at)
+
+    context.complete_at = 1e9
+    context.world = FleetWorld(hosts=hosts)
+    context.world.play(script, RUN_SECONDS)
+
+
+@then("host 3 has a catalog within {seconds:g} s")
+def then_has_catalog(context, seconds):
+    assert context.complete_at - PUBLISHED_AT <= seconds, context.complete_at
+
+
+@then("it does not take that for current")
+def then_not_current(context):
+    outage = context.complete_at - PUBLISHED_AT
+    assert context.age >= outage, (context.age, outage)
+
+
 @then("the store gets at most {calls:d} calls a second from {start:d} s on")
 def then_calls_on(context, calls, start):
     found = context.world.store.calls_between(start, context.end)
--- a/tests/steps/dsr_forwarding_steps.py
+++ b/tests/steps/dsr_forwarding_steps.py
@@ -1,6 +1,7 @@
 """Steps for the forwarding of callers' packets."""
 
 from collections import Counter
+from unittest.mock import Mock
 
 from behave import given, then, when
 from fakes.dsr_world import (
@@ -17,6 +18,8 @@
     number_in,
 )
 
+from hornbeamdeal.dsr import forward_waiting
+
 HANDLE_BYTES = slice(12, 16)
 
 
@@ -140,6 +143,42 @@
     context.sent = context.host.receive(packets[fault])
 
 
+class WaitingPackets:
+    """A socket in which packets wait."""
+
+    def __init__(self, packets):
+        self.packets = packets
+
+    def recv(self, size):
+        if not self.packets:
+            raise BlockingIOError
+        return self.packets.pop(0)
+
+
+@when("a packet that meets a fault waits before an opening packet")
+def when_fault(context):
+    host = context.host
+    receive = host.forwarder.codec.decode
+    host.forwarder.codec = Mock(wraps=host.forwarder.codec)
+    host.forwarder.codec.decode.side_effect = [
+        ZeroDivisionError("fault"),
+        receive(make_packet("100.64.0.1:1000", FLAG_SYN)),
+    ]
+    packets = WaitingPackets([b"first", b"second"])
+    forward_waiting(packets, host.forwarder, host.clock.monotonic())
+
+
+@then("the opening packet is forwarded")
+def then_forwarded(context):
+    assert len(context.host.sent) == 1
+
+
+@then("the fault is logged")
+def then_fault_logged(context):
+    [fields] = [f for n, f in context.host.journal.events if n == "unexpected_error"]
+    assert "ZeroDivisionError" in fields["detail"]
+
+
 @then("the datagram goes to the server that its handle and number name")
 def then_named(context):
     [(data, address)] = context.sent
