Let worlds of real nodes run beside each other; start a node without the store

Change: blocks of loopback addresses; a scenario with a real node that starts while the store is silent.

--- a/tests/fakes/platform_world.py
+++ b/tests/fakes/platform_world.py
@@ -32,7 +32,8 @@
 REPOSITORY = Path(__file__).resolve().parents[2]
 PACKET_PORT, READY_PORT, STORE_PORT = 8172, 8167, 8169
 PEER_PORT, METRICS_PORT, SERVER_PORT = 7720, 7735, 8000
-STORE_IP = "127.99.0.1"
+# Second octets of the parties' addresses, above ten times the world's block.
+CALLERS, NODES, SERVERS, STORE = 1, 2, 3, 9
 SERVICE = "reservas"
 ANSWER_BYTES = 300
 # The bounds of the deployments that the nodes are made for.
@@ -50,10 +51,11 @@
     def __init__(self, world, index):
         self.world = world
         self.name = f"node-{index}"
-        self.ip = f"127.2.0.{index + 1}"
+        self.ip = world.ip(NODES, index + 1)
         self.zone = f"z{index % 2}"
         self.proxy = TcpProxy(
-            Endpoint(self.ip, STORE_PORT), Endpoint(STORE_IP, STORE_PORT)
+            Endpoint(self.ip, STORE_PORT),
+            Endpoint(world.ip(STORE, 1), STORE_PORT),
         )
         self.process = None
         self.calm_since = trio.current_time()
@@ -127,7 +129,7 @@
             },
             "internal_ports": [PEER_PORT, METRICS_PORT],
             "limits": {"link_mbps": 100},
-            "seeds": ["127.2.0.1:1", "127.2.0.2:1"],
+            "seeds": [f"{self.world.ip(NODES, n)}:1" for n in (1, 2)],
             "bounds": {
                 "config_apply_ms": 3000,
                 "drain_ms": 3000,
@@ -145,7 +147,7 @@
         self.world = world
         self.number = number
         self.server_id = f"i-{number:010x}"
-        self.ip = f"127.3.0.{number}"
+        self.ip = world.ip(SERVERS, number)
         self.zone = f"z{number % 2}"
         self.flows = {}
         self.draining_since = None
@@ -219,7 +221,7 @@
     def __init__(self, world, index):
         self.world = world
         self.index = index
-        self.ip = f"127.1.0.{index + 1}"
+        self.ip = world.ip(CALLERS, index + 1)
         self.port = 1000
         self.socket = None
 
@@ -323,9 +325,13 @@
 
 
 class PlatformWorld:
-    """All parties; collects what broke a promise."""
+    """All parties; collects what broke a promise.
 
-    def __init__(self, *, nodes=3, servers=4, callers=12, random_state=0):
+    Worlds with different blocks use different addresses and may run together.
+    """
+
+    def __init__(self, *, nodes=3, servers=4, callers=12, random_state=0, block=0):
+        self.block = block
         self.random = random.Random(random_state)
         self.temporary = tempfile.TemporaryDirectory()
         self.folder = Path(self.temporary.name)
@@ -352,7 +358,8 @@
             self.store.put(f"servers/{server.server_id}", server.entry())
         try:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self.store.run, Endpoint(STORE_IP, STORE_PORT))
+                listen = Endpoint(self.ip(STORE, 1), STORE_PORT)
+                nursery.start_soon(self.store.run, listen)
                 for party in (*self.servers, *[node.proxy for node in self.nodes]):
                     nursery.start_soon(party.run)
                 await trio.sleep(0.1)
@@ -367,6 +374,10 @@
                 node.signal(signal.SIGCONT)
                 node.kill()
 
+    def ip(self, kind, number):
+        """Return the address of a party."""
+        return f"127.{10 * self.block + kind}.0.{number}"
+
     def route(self, caller_index, port):
         """Return the node that the routers choose: one that runs."""
         usable = [n for n in self.nodes if n.process and n.process.poll() is None]
--- a/tests/platform/node.feature
+++ b/tests/platform/node.feature
@@ -20,6 +20,13 @@
     Then its callers are served again within 2 s
     And no promise is broken
 
+  Scenario: a node that starts while the store is silent serves callers
+    Guards against a node that waits for the store although its peers know all.
+    Given real nodes that serve callers
+    When a real node starts again while the store is silent
+    Then requests are served again within 4 s
+    And no promise is broken
+
   Scenario: a faulty settings file ends the start with its remedy
     When a node is started with a settings file without a store
     Then the node exits with 2 and names "platform.address"
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -140,9 +140,9 @@
             await trio.sleep(0.1)
 
 
-def play(seed, nodes=3, callers=12, weakened=""):
+def play(seed, nodes=3, callers=12, weakened="", block=0):
     """Play one seed; return what broke and the faults that were played."""
-    world = PlatformWorld(nodes=nodes, callers=callers, random_state=seed)
+    world = PlatformWorld(nodes=nodes, callers=callers, random_state=seed, block=block)
     world.weakened = weakened
     faults = Faults(world, seed)
 
@@ -170,7 +170,9 @@
     return world, faults, logs
 
 
-def main(seeds=0, first=1, nodes=3, callers=12, weakened="", out="", quiet=False):
+def main(
+    seeds=0, first=1, nodes=3, callers=12, weakened="", out="", block=0, quiet=False
+):
     """Play seeds; exit with 1 if any broke a promise.
 
     Args:
@@ -180,11 +182,12 @@
         callers: Callers.
         weakened: Mechanism to leave out: freshness, drain or handle.
         out: Folder for the logs of seeds that failed.
+        block: Block of addresses, 0 to 24; runs with different ones may overlap.
         quiet: Print failures only.
     """
     failed = []
     for seed in (*REGRESSION_SEEDS, *range(first, first + seeds)):
-        world, faults, logs = play(seed, nodes, callers, weakened)
+        world, faults, logs = play(seed, nodes, callers, weakened, block)
         if not quiet or world.failures:
             print(
                 f"seed {seed}: {len(world.served)} requests served,"
--- a/tests/steps/platform_node_steps.py
+++ b/tests/steps/platform_node_steps.py
@@ -51,6 +51,18 @@
     play(context, restart)
 
 
+@when("a real node starts again while the store is silent")
+def when_start_without_store(context):
+    async def restart(world):
+        world.disturb_store()
+        world.store.is_silent = True
+        world.nodes[0].kill()
+        world.nodes[0].start()
+        await trio.sleep(3.0)
+
+    play(context, restart)
+
+
 @when("a server of theirs falls silent")
 def when_silent(context):
     async def silence(world):
