--- a/tests/steps/requests_steps.py
+++ b/tests/steps/requests_steps.py
@@ -198,7 +198,7 @@
     assert len(sealed) == 40
     assert sealer.open(sealed, SERVICE, CALLER) == TOKEN
     assert sealer.open(sealed, "devoluciones", CALLER) is None
-    assert sealer.open(sealed, SERVICE, replace(CALLER, port=1)) is None
+    assert sealer.open(sealed, SERVICE, CALLER._replace(port=1)) is None
 
 
 @then("no changed byte of the requests token opens")
