--- a/hornbeamdeal/ctl/_nodes.py
+++ b/hornbeamdeal/ctl/_nodes.py
@@ -9,7 +9,7 @@
 from ._http import for_each, read
 from ._report import ExitCode, Report
 
-# Older knowledge than this is not in force in time (`config_apply_ms`).
+# News must be in force within this time; older knowledge may be out of date.
 STALE_AGE_MS = 3000
 _SERVER_EVENTS = ("server_out", "server_dead", "server_back", "server_removed")
 
