--- a/tests/run.py
+++ b/tests/run.py
@@ -24,6 +24,7 @@
             command, cwd=TESTS, check=False, env=environment
         ).returncode
         totals = count_results(Path(reports))
+        print_failures(Path(reports))
     if exit_code != 0 and totals[1] == 0:
         return totals[0], 1, totals[2]
     return totals
@@ -40,6 +41,16 @@
     return tests - failed - skipped, failed, skipped
 
 
+def print_failures(reports: Path) -> None:
+    """Print what each failed scenario says: its step, message and trace."""
+    for report in sorted(reports.glob("*.xml")):
+        for case in ElementTree.parse(report).getroot().iter("testcase"):
+            for failure in (*case.iter("failure"), *case.iter("error")):
+                print(f"FAILED {case.get('classname')}: {case.get('name')}")
+                print(f"  {failure.get('message')}")
+                print((failure.text or "").strip())
+
+
 def main() -> int:
     """Run the gating scenarios, then the known red ones."""
     tags = ["--tags", "not @known_red"]
