Refuse requests truthfully after a pause, and serve those that waited

After a pause of over a second, which a busy machine causes too, the receiver answered every request at a held address with "not run" by itself. A host that wakes finds the requests of its pause in the socket; it refused all of them, although the check of the version in force ends some milliseconds later. Change: the event of a request tells that its address is held; the dispatcher decides: a copy of a running request waits for its answer, a new one is refused under its run token and never runs, a token of another host is relayed.

--- a/hornbeamdeal/daemon/_driver.py
+++ b/hornbeamdeal/daemon/_driver.py
@@ -217,11 +217,16 @@
     async def _tick_forever(self) -> None:
         while True:
             await trio.sleep(TICK_SECONDS)
-            now = self.clock.monotonic()
-            self._check_pause(now)
-            for component in self.components.all():
-                self.pending_.extend(component.tick(now))
-            self._carry_out_pending(now)
-            if self.components.membership.superseded_:
-                self.log("superseded", "error", remedy="give each host its own host_id")
-                raise SupersededError(self.settings.host_id)
+            self.tick()
+
+    def tick(self) -> None:
+        """Let all components do what is due, and serve requests that waited."""
+        now = self.clock.monotonic()
+        self._check_pause(now)
+        for component in self.components.all():
+            self.pending_.extend(component.tick(now))
+        self._carry_out_pending(now)
+        self.receiver_.serve_waiting(now)
+        if self.components.membership.superseded_:
+            self.log("superseded", "error", remedy="give each host its own host_id")
+            raise SupersededError(self.settings.host_id)
--- a/hornbeamdeal/daemon/_receiver.py
+++ b/hornbeamdeal/daemon/_receiver.py
@@ -9,22 +9,19 @@
 from hornbeamdeal.kernel import (
     Address,
     AddressKind,
-    Answer,
-    AnswerStatus,
     BackendServer,
     CancelReceived,
     Count,
     Endpoint,
     PacketReceived,
     PeerReceived,
-    ReplyToCaller,
     Request,
     RequestReceived,
     ServerAnswered,
 )
 from hornbeamdeal.wire import peer_types
 
-HELD_RETRY_SECONDS = 5.0
+from ._waiting_requests import WaitingRequests
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,10 +45,11 @@
         Takes the events.
     """
 
-    __slots__ = ("driver",)
+    __slots__ = ("driver", "waiting_")
 
     def __init__(self, *, driver: Any):
         self.driver = driver
+        self.waiting_ = WaitingRequests()
 
     def receive_fabric(self, data: bytes, sender: Endpoint) -> None:
         """Take a caller's datagram from the fabric."""
@@ -66,17 +64,33 @@
             return
         self._receive_from_caller(datagram.payload, datagram.source, address)
 
+    def serve_waiting(self, now: float) -> None:
+        """Take requests that need not, or must not, wait any longer."""
+        is_over = not self.driver.components.pause_check.is_open_
+        for payload, origin in self.waiting_.take(is_over, now):
+            caller, endpoint, relay = origin
+            address = self.driver.world.address_of(endpoint)
+            if address is None:
+                self.driver.metrics.count(Count("dropped", "unknown_address"))
+            else:
+                self._receive_from_caller(payload, caller, address, relay, False)
+
     def _receive_from_caller(
         self,
         payload: bytes,
         caller: Endpoint,
         address: Address,
         relay: Relay = NO_RELAY,
+        may_wait: bool = True,
     ) -> None:
-        is_held = self.driver.world.is_held(
-            address.endpoint, self.driver.clock.monotonic()
-        )
+        now = self.driver.clock.monotonic()
+        is_held = self.driver.world.is_held(address.endpoint, now)
         if address.kind is AddressKind.REQUESTS:
+            may_wait = may_wait and self.driver.components.pause_check.is_open_
+            origin = (caller, address.endpoint, relay)
+            if is_held and may_wait and self.waiting_.put(payload, origin, now):
+                self.driver.metrics.count(Count("requests_waiting", "pause_check"))
+                return
             self._receive_request(payload, caller, address, relay, is_held)
         elif is_held:
             self.driver.metrics.count(Count("dropped", "address_held", address.service))
@@ -96,20 +110,10 @@
         if isinstance(message, wire.CancelMessage):
             event = CancelReceived(caller, address.endpoint, message.message_id)
             self.driver.feed(event, (self.driver.components.dispatcher,))
-        elif isinstance(message, Request) and is_held:
-            self._refuse_held(message, address.service)
         elif isinstance(message, Request):
             request = replace(message, hops=relay.hops, relayed_by=relay.endpoint)
-            self.driver.feed(
-                RequestReceived(request), (self.driver.components.dispatcher,)
-            )
-
-    def _refuse_held(self, request: Request, service: str) -> None:
-        self.driver.metrics.count(Count("requests_refused", "address_held", service))
-        answer = Answer(
-            AnswerStatus.NOT_RUN, reason="address_held", retry_after=HELD_RETRY_SECONDS
-        )
-        self.driver.carry_out(ReplyToCaller(request, answer))
+            event = RequestReceived(request, is_held)
+            self.driver.feed(event, (self.driver.components.dispatcher,))
 
     def receive_server(self, data: bytes, sender: Endpoint) -> None:
         """Take a backend server's answer, or its datagram for a flow's caller."""
--- a/hornbeamdeal/kernel/_events.py
+++ b/hornbeamdeal/kernel/_events.py
@@ -15,9 +15,14 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestReceived:
-    """A request came from the fabric or from a peer."""
+    """A request came from the fabric or from a peer.
+
+    `is_held` tells that this host may know its address by an old document, so
+    that nothing new may start.
+    """
 
     request: Request
+    is_held: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/hornbeamdeal/requests/_answers.py
+++ b/hornbeamdeal/requests/_answers.py
@@ -3,6 +3,7 @@
 from random import Random
 from typing import Any
 
+from hornbeamdeal.document import HOLD_DOWN_SECONDS
 from hornbeamdeal.kernel import (
     Answer,
     AnswerStatus,
@@ -63,7 +64,10 @@
 
     def not_run(self, reason: str, retry_after: float | None = None) -> Answer:
         """Return the answer of a request that no server started."""
-        seconds = self._jittered() if retry_after is None else retry_after
+        seconds = retry_after
+        if seconds is None:
+            is_held = reason == Reason.ADDRESS_HELD
+            seconds = HOLD_DOWN_SECONDS if is_held else self._jittered()
         return Answer(AnswerStatus.NOT_RUN, reason=str(reason), retry_after=seconds)
 
     def unknown(self, reason: str) -> Answer:
--- a/hornbeamdeal/requests/_baseline.py
+++ b/hornbeamdeal/requests/_baseline.py
@@ -7,6 +7,7 @@
 from hornbeamdeal.kernel import Answer, Request, register
 
 from ._answers import reply
+from ._base import Reason
 from ._dispatcher import RequestDispatcher
 from ._routing import Route
 from ._token import RunToken
@@ -23,10 +24,10 @@
     restart, runs it again.
     """
 
-    def _ask_for_token(self, request: Request, route: Route, now: float) -> list[Any]:
-        record = self.desk_.claim(
-            self._own_token(request, now), request, self._refusal(), now
-        )
+    def _ask_for_token(
+        self, request: Request, route: Route, refusal: Reason | None, now: float
+    ) -> list[Any]:
+        record = self.desk_.claim(self._own_token(request, now), request, refusal, now)
         if isinstance(record, Answer):
             return reply(request, record, route.service)
         if record.exchange is not None:
--- a/hornbeamdeal/requests/_dispatcher.py
+++ b/hornbeamdeal/requests/_dispatcher.py
@@ -102,7 +102,7 @@
         now = self._begin(now)
         match event:
             case RequestReceived():
-                return self._take_request(event.request, now)
+                return self._take_request(event.request, event.is_held, now)
             case ServerAnswered():
                 return self.runner_.take_answer(event, now)
             case CancelReceived():
@@ -169,27 +169,33 @@
             endpoint=self.endpoint,
         )
 
-    def _take_request(self, request: Request, now: float) -> list[Any]:
+    def _take_request(self, request: Request, is_held: bool, now: float) -> list[Any]:
         route = self.router_.find(request, now)
         if isinstance(route, Reason):
-            return reply(request, self._unroutable(request, route))
+            return reply(request, self._unroutable(request, route, is_held))
+        refusal = Reason.ADDRESS_HELD if is_held else self._refusal()
         idempotent = request.idempotent or route.work_class.idempotent
         is_first = idempotent or request.run_token is None
-        if is_first and (relay := self.home_hosts_.relay(request, route)):
-            return relay
+        if is_first and not is_held:
+            relay = self.home_hosts_.relay(request, route)
+            if relay:
+                return relay
         if idempotent:
-            return self._take_idempotent(request, route, now)
+            return self._take_idempotent(request, route, refusal, now)
         if request.run_token is None:
-            return self._ask_for_token(request, route, now)
-        return self._take_token(request, route, now)
+            return self._ask_for_token(request, route, refusal, now)
+        return self._take_token(request, route, refusal, now)
 
-    def _unroutable(self, request: Request, reason: Reason) -> Answer:
+    def _unroutable(self, request: Request, reason: Reason, is_held: bool) -> Answer:
         """Answer a request without a route.
 
         One with a run token may have run when it still had a route.
         """
         if request.run_token is not None and not request.idempotent:
             return self.answers_.unknown(reason)
+        if is_held:
+            # The route may stand in a document that this host lacks.
+            return self.answers_.not_run(Reason.ADDRESS_HELD)
         if reason is Reason.UNKNOWN_PATH:
             return self.answers_.bad_request(f"{reason}: {request.path}")
         return self.answers_.not_run(reason)
@@ -200,29 +206,33 @@
             return Reason.STOPPING
         return Reason.HOST_FULL if self.runner_.is_full else None
 
-    def _take_idempotent(self, request: Request, route: Route, now: float) -> list[Any]:
+    def _take_idempotent(
+        self, request: Request, route: Route, refusal: Reason | None, now: float
+    ) -> list[Any]:
         running = self.runner_.table.find(request)
         if running is not None:
             return self.runner_.join(running, request)
-        refusal = self._refusal()
         if refusal is not None:
             return reply(request, self.answers_.not_run(refusal), route.service)
         return self.runner_.start(request, route, None, now)
 
-    def _ask_for_token(self, request: Request, route: Route, now: float) -> list[Any]:
-        refusal = self._refusal()
+    def _ask_for_token(
+        self, request: Request, route: Route, refusal: Reason | None, now: float
+    ) -> list[Any]:
         if refusal is not None:
             return reply(request, self.answers_.not_run(refusal), route.service)
         answer = self.desk_.issue(request, route.service, now)
         return reply(request, answer, route.service)
 
-    def _take_token(self, request: Request, route: Route, now: float) -> list[Any]:
+    def _take_token(
+        self, request: Request, route: Route, refusal: Reason | None, now: float
+    ) -> list[Any]:
         token = self.desk_.read(request, route.service)
         if isinstance(token, Answer):
             return reply(request, token, route.service)
         if token.incarnation != self.incarnation:
             return self.relayer_.take(request, token, route, now)
-        record = self.desk_.claim(token, request, self._refusal(), now)
+        record = self.desk_.claim(token, request, refusal, now)
         if isinstance(record, Answer):
             return reply(request, record, route.service)
         if record.exchange is not None:
--- a/tests/requests/dispatch.feature
+++ b/tests/requests/dispatch.feature
@@ -48,6 +48,27 @@
     When the requests address moves to another service
     Then a request in the next 5 s is refused as "address_held" and later ones are not
 
+  Scenario: a repeated booking finds its run while its address is held
+    Guards against "not run" for a booking whose first copy runs: a host that was
+    paused holds its addresses when the copies of its callers arrive.
+    When a booking with a run token is at a server of host a
+    And its copy arrives at host a while the address is held
+    Then no booking is answered as not run
+    When the server answers the booking
+    Then both copies of the booking get that answer
+
+  Scenario: a repeated booking at another host that holds the address is relayed
+    Guards against "not run" from a host that doesn't know the booking's run.
+    When a booking with a run token is at a server of host a
+    And its copy arrives at host b while the address is held
+    Then no booking is answered as not run
+
+  Scenario: a booking that is refused while its address is held never runs
+    Guards against a copy that runs after "not run" was said.
+    When a booking with a run token arrives at host a while the address is held
+    And its copy arrives at host a
+    Then both are answered as not run and no server got the booking
+
   Scenario: a start for an unknown ticket frees the slot
     Guards against a slot that leaks when admission starts an ended ticket.
     When requests admission starts a ticket that has ended
