Pass news on through relays in fleets of over 120 hosts

Cause: the reader told every host of each answer itself. Change: above 120 peers the reader tells two relays of each group of about 45 hosts of a zone; the message carries the number of groups. The order of readers is worked out when membership reports a change. Hosts that leave are still told, since they forward until their flows have moved. Ruled out: one relay a zone (its death delays the whole zone, and it would tell 333 hosts in a fleet of 1,000 in three zones), a random gossip (late for some hosts, and no bound on the last one). Small fleets are told as before.

--- a/hornbeamdeal/dsr/__init__.py
+++ b/hornbeamdeal/dsr/__init__.py
@@ -31,6 +31,7 @@
         ],
         "_reading_duty": ["ReadingDuty"],
         "_records": ["Route", "RouteTable", "Server", "Update", "handle_of"],
+        "_relays": ["NewsRelays"],
         "_source": ["Source", "SourceError"],
     },
 )
--- a/hornbeamdeal/dsr/_fleet.py
+++ b/hornbeamdeal/dsr/_fleet.py
@@ -1,10 +1,18 @@
 """What a host and its peers tell each other: members, catalog, evidence."""
 
+import copy
 import random
 from collections.abc import Callable
 from typing import Any
 
-from hornbeamdeal.kernel import Endpoint, EntryHost, PeerReceived, SendPeer
+from hornbeamdeal.kernel import (
+    Endpoint,
+    EntryHost,
+    HostState,
+    MembersChanged,
+    PeerReceived,
+    SendPeer,
+)
 from hornbeamdeal.membership import Membership, elect_readers
 from hornbeamdeal.wire import peer_types
 
@@ -14,6 +22,7 @@
 from ._news_codec import decode_news, encode_news
 from ._reading_duty import ReadingDuty
 from ._records import RouteTable, Update
+from ._relays import NO_GROUPS, NewsRelays
 
 # A gap is asked for once in this time; the answer takes some milliseconds.
 REQUEST_INTERVAL_SECONDS = 0.25
@@ -22,6 +31,9 @@
 SIGN_FANOUT = 100
 # Hosts that refute a sign, on average, where many saw the server alive.
 REFUTING_HOSTS = 8
+READER_STATES = (HostState.ALIVE, HostState.SUSPECT)
+# A host that leaves forwards until its flows have moved, by current news.
+PEER_STATES = (*READER_STATES, HostState.LEAVING)
 
 
 class Fleet:
@@ -40,6 +52,8 @@
         "make_membership",
         "membership",
         "on_changes",
+        "relays",
+        "_news_receivers",
         "_peers",
         "_random",
         "_rejoins",
@@ -55,6 +69,7 @@
         journal: Journal,
         make_membership: Callable[[int], Membership],
         on_changes: Callable[[list[tuple[str, Any]]], None],
+        relays: NewsRelays | None = None,
         random_state: int | None = None,
     ):
         self.catalog = catalog
@@ -64,7 +79,9 @@
         self.make_membership = make_membership
         self.membership = make_membership(0)
         self.on_changes = on_changes
+        self.relays = relays or NewsRelays()
         self._peers: list[EntryHost] = []
+        self._news_receivers: dict[int, list[EntryHost]] = {}
         self._rejoins = 0
         self._random = random.Random(random_state)
         self._request_due = float("-inf")
@@ -74,7 +91,9 @@
         actions = self.membership.tick(now)
         if self.membership.superseded_:
             self.membership = self._rejoin()
-        self._take_members()
+            self._take_members()
+        elif any(isinstance(action, MembersChanged) for action in actions):
+            self._take_members()
         if not self.catalog.is_complete and self._peers:
             # The store may be away just when this host starts.
             actions += self._ask(self._random.choice(self._peers).endpoint, now)
@@ -85,7 +104,8 @@
         if isinstance(event, PeerReceived):
             message = event.message
             if isinstance(message, peer_types.CatalogNews):
-                return self._take_news(message, event.endpoint, now)
+                relayed = self._relay(message)
+                return relayed + self._take_news(message, event.endpoint, now)
             if isinstance(message, peer_types.CatalogRequest):
                 return self._answer(event.endpoint, now)
             if isinstance(message, peer_types.ServerSigns):
@@ -102,7 +122,25 @@
             position=self.duty.position,
             previous_routes=previous,
         )
-        return [SendPeer(peer.endpoint, message) for peer in self._peers]
+        return self._send_news(message)
+
+    def _send_news(self, message: Any) -> list[Any]:
+        actions = []
+        for groups, peers in self._news_receivers.items():
+            addressed = copy.copy(message)
+            addressed.relay_groups = groups
+            actions += [SendPeer(peer.endpoint, addressed) for peer in peers]
+        return actions
+
+    def _relay(self, message: Any) -> list[Any]:
+        """Pass news on to the own group, where the sender asks for it."""
+        if not message.relay_groups or message.relay_groups < 0:
+            return []
+        own = self.membership.own
+        peers = self.relays.group_peers(own, self._peers, message.relay_groups)
+        relayed = copy.copy(message)
+        relayed.relay_groups = NO_GROUPS
+        return [SendPeer(peer.endpoint, relayed) for peer in peers]
 
     def _rejoin(self) -> Membership:
         """Join again as a later start: the clock went back before this one."""
@@ -111,10 +149,15 @@
         return self.make_membership(self._rejoins)
 
     def _take_members(self) -> None:
-        members = [h for h in self.membership.members_.values() if _is_usable(h)]
+        members = self.membership.members_.values()
         own_id = self.membership.own.host_id
-        self._peers = [h for h in members if h.host_id != own_id]
-        order, stand_ins = reader_order(members)
+        self._peers = [
+            h for h in members if h.host_id != own_id and h.state in PEER_STATES
+        ]
+        self._news_receivers = self.relays.receivers(self._peers)
+        order, stand_ins = reader_order(
+            [h for h in members if h.state in READER_STATES]
+        )
         if own_id in order:
             self.duty.position = order.index(own_id)
             self.duty.is_stand_in = self.duty.position < stand_ins
@@ -228,7 +271,3 @@
     ids = [host.host_id for host in first]
     rest = sorted({host.host_id for host in hosts}.difference(ids))
     return ids + rest, len(ids)
-
-
-def _is_usable(host: EntryHost) -> bool:
-    return host.state.value in ("alive", "suspect")
--- a/hornbeamdeal/wire/_generated/peer/ttypes.py
+++ b/hornbeamdeal/wire/_generated/peer/ttypes.py
@@ -2390,6 +2390,7 @@
      - servers
      - removed
      - routes
+     - relay_groups
 
     """
 
@@ -2401,10 +2402,11 @@
         'servers',
         'removed',
         'routes',
+        'relay_groups',
     )
 
 
-    def __init__(self, base_revision=None, revision=None, age_ms=None, position=None, servers=None, removed=None, routes=None,):
+    def __init__(self, base_revision=None, revision=None, age_ms=None, position=None, servers=None, removed=None, routes=None, relay_groups=None,):
         self.base_revision = base_revision
         self.revision = revision
         self.age_ms = age_ms
@@ -2412,6 +2414,7 @@
         self.servers = servers
         self.removed = removed
         self.routes = routes
+        self.relay_groups = relay_groups
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2470,6 +2473,11 @@
                     self.routes.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.relay_groups = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2515,6 +2523,10 @@
             oprot.writeFieldBegin('routes', TType.STRUCT, 7)
             self.routes.write(oprot)
             oprot.writeFieldEnd()
+        if self.relay_groups is not None:
+            oprot.writeFieldBegin('relay_groups', TType.I32, 8)
+            oprot.writeI32(self.relay_groups)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3439,6 +3451,7 @@
     (5, TType.LIST, 'servers', (TType.STRUCT, [DirectServer, None], False), None, ),  # 5
     (6, TType.MAP, 'removed', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 6
     (7, TType.STRUCT, 'routes', [DirectRoutes, None], None, ),  # 7
+    (8, TType.I32, 'relay_groups', None, None, ),  # 8
 )
 all_structs.append(CatalogRequest)
 CatalogRequest.thrift_spec = (
--- a/hornbeamdeal/wire/peer.thrift
+++ b/hornbeamdeal/wire/peer.thrift
@@ -162,7 +162,8 @@
 
 // Changes of the catalog after `base_revision`, -1 for a full copy. The store
 // held nothing newer `age_ms` ago. `position` is the sender's in the order of
-// readers, -1 where it has none.
+// readers, -1 where it has none. Where `relay_groups` is above 0, the receiver
+// passes the news on to its group of so many in its zone.
 struct CatalogNews {
   1: i64 base_revision
   2: i64 revision
@@ -171,6 +172,7 @@
   5: list<DirectServer> servers
   6: map<string, i64> removed
   7: DirectRoutes routes
+  8: i32 relay_groups
 }
 
 // Asks for what changed after a revision; answered over TCP.
--- a/tests/dsr/fleet.feature
+++ b/tests/dsr/fleet.feature
@@ -78,3 +78,8 @@
     Given a fleet of 7 hosts in which host 3 starts again at 10 s as the store goes down
     Then host 3 has a catalog within 2 s
     And it does not take that for current
+
+  Scenario: a host that leaves hears of changes
+    Guards against packets that a leaving host forwards by old knowledge.
+    Given a fleet of 7 hosts in which host 3 leaves at 9 s and a version is published at 10 s
+    Then every host has it in force within 0.1 s
--- a/tests/fakes/dsr_fleet_world.py
+++ b/tests/fakes/dsr_fleet_world.py
@@ -1,6 +1,7 @@
 """Several hosts that read one store and tell each other, on virtual time."""
 
 import random
+from collections import Counter
 
 import trio
 from trio.testing import MockClock
@@ -14,7 +15,13 @@
     SourceError,
     Update,
 )
-from hornbeamdeal.kernel import Endpoint, EntryHost, PeerReceived, SendPeer
+from hornbeamdeal.kernel import (
+    Endpoint,
+    EntryHost,
+    PeerReceived,
+    SendPeer,
+    StopRequested,
+)
 from hornbeamdeal.membership import Membership
 from hornbeamdeal.wire import peer_types
 
@@ -28,6 +35,9 @@
 SILENT_TIMEOUT_SECONDS = 0.7
 WATCH_MARGIN_SECONDS = 0.5
 START_SPREAD_SECONDS = 0.3
+PUBLISHED_AT = 10.0
+RUN_SECONDS = 20.0
+NEW_VERSION = 50
 
 
 class TrioClock:
@@ -179,6 +189,7 @@
                 random_state=index,
             ),
             on_changes=lambda changes: None,
+            relays=world.relays,
             random_state=index,
         )
         self.reader = CatalogReader(
@@ -207,6 +218,11 @@
         self.is_alive = False
         self.scope.cancel()
 
+    def leave(self):
+        """Tell peers of a planned stop, and go on."""
+        now = trio.current_time()
+        self.carry_out(self.fleet.handle(StopRequested(), now))
+
     def spread(self, update, previous):
         """Pass an answer of the store on; the reader calls this."""
         self.carry_out(self.fleet.spread(update, previous, trio.current_time()))
@@ -240,13 +256,15 @@
 class FleetWorld:
     """Plays some hosts in zones for some seconds of virtual time."""
 
-    def __init__(self, *, hosts, zones=3, loss=0.0, random_state=0):
+    def __init__(self, *, hosts, zones=3, loss=0.0, relays=None, random_state=0):
         self.host_count = hosts
         self.zone_count = zones
         self.loss = loss
+        self.relays = relays
         self.random = random.Random(random_state)
         self.cut_zones = set()
         self.news_sizes = []
+        self.news_sent_by_id = Counter()
 
     def play(self, script, seconds):
         """Run all hosts beside a script; return when the time is over."""
@@ -282,6 +300,7 @@
         if isinstance(action.message, peer_types.CatalogNews):
             size = len(action.message.servers)
             self.news_sizes.append((trio.current_time(), size))
+            self.news_sent_by_id[sender.host_id] += 1
         target = self.hosts_by_endpoint.get(action.endpoint)
         if target is None or self._is_cut(sender, target):
             return
@@ -309,3 +328,16 @@
             - since
             for host in alive
         )
+
+
+def play_publication(hosts, at_publication, **parameters):
+    """Play a world in which something happens as a version is published."""
+
+    async def script(world):
+        await trio.sleep(PUBLISHED_AT)
+        at_publication(world)
+        world.store.put(routes=make_routes(NEW_VERSION))
+
+    world = FleetWorld(hosts=hosts, **parameters)
+    world.play(script, RUN_SECONDS)
+    return world
--- a/tests/steps/dsr_fleet_steps.py
+++ b/tests/steps/dsr_fleet_steps.py
@@ -2,28 +2,22 @@
 
 import trio
 from behave import given, then
-from fakes.dsr_fleet_world import FleetWorld
+from fakes.dsr_fleet_world import (
+    NEW_VERSION,
+    PUBLISHED_AT,
+    RUN_SECONDS,
+    FleetWorld,
+    play_publication,
+)
 from fakes.dsr_world import make_routes, make_server
 
 from hornbeamdeal.dsr import reader_order
 from hornbeamdeal.kernel import Endpoint, EntryHost
 
-PUBLISHED_AT = 10.0
-RUN_SECONDS = 20.0
-NEW_VERSION = 50
-
-
-def play(context, hosts, at_publication, *, seconds=RUN_SECONDS, loss=0.0):
-    """Do something at 10 s and publish a version in the same moment."""
-
-    async def script(world):
-        await trio.sleep(PUBLISHED_AT)
-        at_publication(world)
-        world.store.put(routes=make_routes(NEW_VERSION))
 
-    context.world = FleetWorld(hosts=hosts, loss=loss)
+def play(context, hosts, at_publication, **parameters):
     context.published_at = PUBLISHED_AT
-    context.world.play(script, seconds)
+    context.world = play_publication(hosts, at_publication, **parameters)
 
 
 @given("a fleet of {hosts:d} hosts that runs for {seconds:d} s")
@@ -132,6 +126,22 @@
     play(context, hosts, lambda world: world.cut_zones.add("z1"))
 
 
+@given(
+    "a fleet of {hosts:d} hosts in which host {index:d} leaves at 9 s and a version is"
+    " published at 10 s"
+)
+def given_leaving(context, hosts, index):
+    async def script(world):
+        await trio.sleep(PUBLISHED_AT - 1.0)
+        world.hosts[index].leave()
+        await trio.sleep(1.0)
+        world.store.put(routes=make_routes(NEW_VERSION))
+
+    context.world = FleetWorld(hosts=hosts)
+    context.published_at = PUBLISHED_AT
+    context.world.play(script, RUN_SECONDS)
+
+
 @given("a fleet of {hosts:d} hosts whose store is down from 10 s to 20 s")
 def given_outage(context, hosts):
     async def script(world):
--- /dev/null
+++ b/tests/steps/dsr_relays_steps.py
@@ -0,0 +1,131 @@
+"""Steps for news that relays pass on."""
+
+from collections import Counter
+
+from behave import given, then, when
+from fakes.dsr_fleet_world import PUBLISHED_AT, play_publication
+from fakes.dsr_world import RecordingJournal, make_routes
+
+from hornbeamdeal.dsr import (
+    Catalog,
+    EvidenceBook,
+    Fleet,
+    NewsRelays,
+    ReadingDuty,
+    Update,
+)
+from hornbeamdeal.kernel import Endpoint, EntryHost, MembersChanged, PeerReceived
+
+PEER_PORT = 7720
+MEMBERS = "{hosts:d} members in {zones:d} zones"
+RELAYED_FLEET = "a fleet of {hosts:d} hosts with relays"
+
+
+class FixedMembership:
+    """Membership in which all hosts know each other and nothing changes."""
+
+    superseded_ = False
+
+    def __init__(self, own, members_by_id):
+        self.own = own
+        self.members_ = members_by_id
+
+    def tick(self, now):
+        return [MembersChanged()]
+
+    def handle(self, event, now):
+        return []
+
+
+def make_fleet(own, members_by_id):
+    catalog = Catalog()
+    catalog.apply(Update(base_revision=None, revision=1, routes=make_routes(1)), 0.0)
+    catalog.confirm(0.0)
+    fleet = Fleet(
+        catalog=catalog,
+        duty=ReadingDuty(),
+        evidence=EvidenceBook(),
+        journal=RecordingJournal(),
+        make_membership=lambda rejoins: FixedMembership(own, members_by_id),
+        on_changes=lambda changes: None,
+    )
+    fleet.tick(0.0)
+    return fleet
+
+
+@given(MEMBERS)
+def given_members(context, hosts, zones):
+    members = [
+        EntryHost(
+            f"host-{i:04d}",
+            1,
+            Endpoint(f"10.0.{i // 200}.{i % 200 + 1}", PEER_PORT),
+            f"z{i % zones}",
+        )
+        for i in range(hosts)
+    ]
+    context.members_by_id = {member.host_id: member for member in members}
+
+
+@when("a host tells news")
+def when_told(context):
+    members_by_id = context.members_by_id
+    ids_by_endpoint = {m.endpoint: m.host_id for m in members_by_id.values()}
+    teller = next(iter(members_by_id.values()))
+    update = Update(base_revision=1, revision=2)
+    sent = make_fleet(teller, members_by_id).spread(update, None, 0.0)
+    context.sent_by_id = Counter({teller.host_id: len(sent)})
+    context.informed = {teller.host_id}
+    for action in sent:
+        host_id = ids_by_endpoint[action.endpoint]
+        context.informed.add(host_id)
+        fleet = make_fleet(members_by_id[host_id], members_by_id)
+        event = PeerReceived(teller.host_id, 1, teller.endpoint, action.message)
+        passed_on = fleet.handle(event, 0.0)
+        context.sent_by_id[host_id] += len(passed_on)
+        context.informed |= {ids_by_endpoint[a.endpoint] for a in passed_on}
+
+
+@then("the news reach every member")
+def then_all_informed(context):
+    missing = context.members_by_id.keys() - context.informed
+    assert not missing, missing
+
+
+@then("no host sends more than {messages:d} messages for them")
+def then_few_messages(context, messages):
+    ((host_id, most),) = context.sent_by_id.most_common(1)
+    assert most <= messages, (host_id, most)
+
+
+def play(context, hosts, at_publication):
+    """Play a fleet that is small, but too large for its reader."""
+    context.published_at = PUBLISHED_AT
+    relays = NewsRelays(direct_peers=10, group_hosts=6)
+    context.world = play_publication(hosts, at_publication, relays=relays)
+
+
+@given(RELAYED_FLEET + " in which a version is published at 10 s")
+def given_relayed(context, hosts):
+    def note_reader(world):
+        (context.reader,) = world.readers()
+
+    play(context, hosts, note_reader)
+
+
+@then("the reader sends less than half of the news")
+def then_relayed(context):
+    sent_by_id = context.world.news_sent_by_id
+    reader = sent_by_id[context.reader.host_id]
+    assert reader < sent_by_id.total() / 2, sent_by_id
+
+
+@given(RELAYED_FLEET + " that are killed at 10 s as a version is published")
+def given_relays_killed(context, hosts):
+    def kill(world):
+        (reader,) = world.readers()
+        for peers in reader.fleet._news_receivers.values():
+            for peer in peers:
+                world.hosts_by_endpoint[peer.endpoint].kill()
+
+    play(context, hosts, kill)
