Drop records of servers that left for good

Cause, from the last read-through: counts of placements of servers that left stayed, removals of servers that were never known stayed, and a setting was decoded that nothing reads. Change: counts that have decayed below 0.01 are dropped, removals are forgotten with the time for which flows may live, control_listen goes. Figures: 500 removals of unknown servers in 1,000 s: 500 kept before, under 50 after; 2,000 servers that come and go in 400 s: 2,000 counts before, under 130 after.

--- a/hornbeamdeal/dsr/_catalog.py
+++ b/hornbeamdeal/dsr/_catalog.py
@@ -64,7 +64,8 @@
         self.removals_by_id: dict[str, Removal] = {}
         self.handle_owners: dict[int, Server] = {}
         self._placeable_by_service: dict[str, list[Server]] = {}
-        self._removed_revisions_by_id: dict[str, int] = {}
+        # Revision and time of each removal, also of servers that were not known.
+        self._removed_revisions_by_id: dict[str, tuple[int, float]] = {}
 
     @property
     def is_complete(self) -> bool:
@@ -141,7 +142,10 @@
         known = self.servers_by_id.get(server.server_id)
         if known is not None and known.revision >= server.revision:
             return False
-        if self._removed_revisions_by_id.get(server.server_id, 0) >= server.revision:
+        removed_revision, _ = self._removed_revisions_by_id.get(
+            server.server_id, (0, 0)
+        )
+        if removed_revision >= server.revision:
             return False
         self.removals_by_id.pop(server.server_id, None)
         self.servers_by_id[server.server_id] = server
@@ -152,8 +156,8 @@
         if known is not None and known.revision > revision:
             return None
         # News may overtake each other, so a server may be gone before it is known.
-        last = self._removed_revisions_by_id.get(server_id, 0)
-        self._removed_revisions_by_id[server_id] = max(last, revision)
+        last, _ = self._removed_revisions_by_id.get(server_id, (0, now))
+        self._removed_revisions_by_id[server_id] = (max(last, revision), now)
         if known is None:
             return None
         del self.servers_by_id[server_id]
@@ -169,7 +173,11 @@
         for server_id, removal in list(self.removals_by_id.items()):
             if now - removal.removed_at > memory:
                 del self.removals_by_id[server_id]
-                self._removed_revisions_by_id.pop(server_id, None)
+        self._removed_revisions_by_id = {
+            server_id: (revision, at)
+            for server_id, (revision, at) in self._removed_revisions_by_id.items()
+            if now - at <= memory
+        }
         gone = [removal.server for removal in self.removals_by_id.values()]
         listed = sorted(self.servers_by_id.values(), key=lambda s: s.server_id)
         self.handle_owners = {server.handle: server for server in gone}
--- a/hornbeamdeal/dsr/_placement.py
+++ b/hornbeamdeal/dsr/_placement.py
@@ -21,6 +21,10 @@
 ZONE_SLACK = 2.0
 # Weight of a recent placement beside a request under way.
 PLACED_WEIGHT = 0.25
+# A count below this no longer changes a choice, and is dropped.
+NEGLIGIBLE_COUNT = 0.01
+# Counts that are kept before negligible ones are looked for.
+KEPT_COUNTS = 64
 
 
 class Placement(Protocol):
@@ -34,25 +38,33 @@
 
 
 class DecayedCounts:
-    """Counts by server that halve with time."""
+    """Counts by server that halve with time, until they are negligible."""
 
-    __slots__ = ("_counts_by_id",)
+    __slots__ = ("_counts_by_id", "_sweep_size")
 
     def __init__(self):
         self._counts_by_id: dict[str, tuple[float, float]] = {}
+        self._sweep_size = KEPT_COUNTS
+
+    def __len__(self) -> int:
+        return len(self._counts_by_id)
 
     def add(self, server_id: str, now: float) -> None:
         """Count one."""
         self._counts_by_id[server_id] = (self.value(server_id, now) + 1.0, now)
+        if len(self) > self._sweep_size:
+            self._drop_negligible(now)
 
     def value(self, server_id: str, now: float) -> float:
         """Return the count as of now."""
         count, at = self._counts_by_id.get(server_id, (0.0, now))
         return count * math.exp2((at - now) / HALF_LIFE_SECONDS)
 
-    def forget(self, server_id: str) -> None:
-        """Drop a server's count."""
-        self._counts_by_id.pop(server_id, None)
+    def _drop_negligible(self, now: float) -> None:
+        for server_id in list(self._counts_by_id):
+            if self.value(server_id, now) < NEGLIGIBLE_COUNT:
+                del self._counts_by_id[server_id]
+        self._sweep_size = max(KEPT_COUNTS, 2 * len(self))
 
 
 @register("placement", "two_choices")
--- a/hornbeamdeal/platform/_settings.py
+++ b/hornbeamdeal/platform/_settings.py
@@ -18,14 +18,12 @@
     """What one node is told at its start. Durations are in seconds.
 
     `packet_listen` takes callers' packets, `readiness_listen` the routers'
-    readiness checks, `control_listen` is only named to other nodes.
-    `peer_port` is used between nodes, `metrics_port` by operators. `link_mbps` is
+    readiness checks. `peer_port` is used between nodes, `metrics_port` by operators. `link_mbps` is
     the bandwidth of the machine's link.
     """
 
     __slots__ = (
         "config_apply_seconds",
-        "control_listen",
         "drain_seconds",
         "flow_lifetime_seconds",
         "host_id",
@@ -75,7 +73,6 @@
         "link_mbps": round(reader.number("limits", "link_mbps")),
         "packet_listen": reader.endpoint("listen", "datagram_addr"),
         "readiness_listen": reader.endpoint("listen", "ready"),
-        "control_listen": reader.endpoint("listen", "control", optional=True),
         "store": reader.endpoint("platform", "address"),
         "peer_port": _port(reader, ports, 0),
         "metrics_port": _port(reader, ports, -1),
@@ -125,12 +122,10 @@
         self.problems.append(f"{parent}.{name} must be a number")
         return 0.0
 
-    def endpoint(self, parent: str, name: str, optional=False) -> Endpoint | None:
+    def endpoint(self, parent: str, name: str) -> Endpoint | None:
         """Return an `ip:port` of a table."""
         fields = self.fields.get(parent)
         value = fields.get(name) if isinstance(fields, dict) else None
-        if optional and not value:
-            return None
         endpoint = _parse_endpoint(value)
         if endpoint is None:
             self.problems.append(f"{parent}.{name} must be ip:port")
--- a/tests/dsr/catalog.feature
+++ b/tests/dsr/catalog.feature
@@ -22,3 +22,8 @@
   Scenario: an update on a base that is not known is refused
     Given a catalog with version 7
     Then an update on revision 40 can't be applied
+
+  Scenario: removals of servers that were never known are forgotten
+    Guards against memory that grows with every server that ever left.
+    Given a catalog to which 500 removals of unknown servers come within 1000 s
+    Then it remembers at most 50 of them
--- a/tests/dsr/forwarding.feature
+++ b/tests/dsr/forwarding.feature
@@ -129,3 +129,8 @@
     When a packet that meets a fault waits before an opening packet
     Then the opening packet is forwarded
     And the fault is logged
+
+  Scenario: placements on servers that left are forgotten
+    Guards against memory that grows with every server that ever was there.
+    When 2000 flows are placed on ever new servers within 400 s
+    Then the host remembers placements of at most 130 servers
--- a/tests/steps/dsr_catalog_steps.py
+++ b/tests/steps/dsr_catalog_steps.py
@@ -35,6 +35,25 @@
     context.catalog.apply(update, 1.0)
 
 
+@given(
+    "a catalog to which {count:d} removals of unknown servers come within {seconds:d} s"
+)
+def given_unknown_removed(context, count, seconds):
+    given_version(context, 7)
+    for number in range(count):
+        revision = 10 + number
+        listed = make_server(2, revision=revision)
+        update = make_update(
+            revision, 0, servers=[listed], removed={f"i-gone-{number}": revision}
+        )
+        context.catalog.apply(update, number * seconds / count)
+
+
+@then("it remembers at most {count:d} of them")
+def then_forgotten(context, count):
+    assert len(context.catalog._removed_revisions_by_id) <= count
+
+
 @when("a full copy with version {version:d} is applied")
 def when_full_copy(context, version):
     update = make_update(2, servers=[make_server(1)], routes=make_routes(version))
--- a/tests/steps/dsr_forwarding_steps.py
+++ b/tests/steps/dsr_forwarding_steps.py
@@ -285,3 +285,16 @@
         [(_, address)] = host.open_flow(f"100.64.1.{index % 250}:{2000 + index}")
         found[address] += 1
     return found
+
+
+@when("{count:d} flows are placed on ever new servers within {seconds:d} s")
+def when_ever_new(context, count, seconds):
+    context.host = Host()
+    placement = context.host.forwarder.placement
+    for index in range(count):
+        placement.note_placed(make_server(index), index * seconds / count)
+
+
+@then("the host remembers placements of at most {count:d} servers")
+def then_few_counts(context, count):
+    assert len(context.host.forwarder.placement.counts_) <= count
