--- a/tests/daemon/failures.feature
+++ b/tests/daemon/failures.feature
@@ -1,7 +1,6 @@
 @processes
 Feature: an environment of real processes under failures
 
-  @known_red
   Scenario: hosts are killed and paused while bookings arrive
     Guards against doubled bookings, false "not run" answers, foreign answers,
     broken flows: a host dies, another wakes late with old facts.
