Reset flows whose callers wait for an answer of a lost server

A caller whose request was acknowledged before the crash sends nothing more and waits until its time is over. - All 15 servers were out and dead by evidence at 24.6 s, but signs expire after 2 s and nobody uses a server that is out, so that from 26.6 s on a request on an idle flow went unanswered until the entry had been missing for 3 s, at 30 s. Change: each host looks every 0.1 s for flows that wait for a server which is dead or gone, and resets them. A server that was dead by evidence, has not proved alive since, and whose entry is then removed is gone at once. Not changed: what counts as evidence, so a reset is as certain as before; openings and idle flows are left alone.

--- a/hornbeamdeal/dsr/_base.py
+++ b/hornbeamdeal/dsr/_base.py
@@ -59,8 +59,14 @@
     def write_handle(self, data: bytes, handle: int) -> bytes:
         """Set the handle that both ends of the flow repeat from now on."""
 
-    def make_reset(self, segment: Segment) -> tuple[bytes, tuple[str, int]]:
-        """Return a reset for the caller of a packet, and where to send it."""
+    def make_reset(
+        self, flow_key: bytes, acknowledgement: int
+    ) -> tuple[bytes, tuple[str, int]]:
+        """Return a reset for the caller of a flow, and where to send it.
+
+        `acknowledgement` is what the caller acknowledged last, 0 where the flow
+        is not open.
+        """
 
     def describe_flow(self, flow_key: bytes) -> str:
         """Name a flow as operators know it: caller, then service address."""
--- a/hornbeamdeal/dsr/_catalog.py
+++ b/hornbeamdeal/dsr/_catalog.py
@@ -12,11 +12,15 @@
 
 
 class Removal:
-    """A server whose entry is gone. Times are monotonic seconds."""
+    """A server whose entry is gone. Times are monotonic seconds.
 
-    __slots__ = ("removed_at", "revision", "server")
+    `is_certain` tells that the server was dead by other evidence before.
+    """
+
+    __slots__ = ("is_certain", "removed_at", "revision", "server")
 
     def __init__(self, server: Server, revision: int, removed_at: float):
+        self.is_certain = False
         self.server = server
         self.revision = revision
         self.removed_at = removed_at
@@ -88,12 +92,25 @@
         """Tell whether a server's flows are lost for certain.
 
         The entry must have been missing for so long, and the store been heard
-        since, that a living server would have written it again.
+        since, that a living server would have written it again; or the server
+        was dead by other evidence when its entry went.
         """
         removal = self.removals_by_id.get(server.server_id)
         if removal is None or server.server_id in self.servers_by_id:
             return False
-        return self.confirmed_at - removal.removed_at >= RETURN_SECONDS
+        waited = self.confirmed_at - removal.removed_at
+        return removal.is_certain or waited >= RETURN_SECONDS
+
+    def mark_gone(self, server_id: str) -> None:
+        """Take note that a server whose entry is missing was dead before."""
+        removal = self.removals_by_id.get(server_id)
+        if removal is not None:
+            removal.is_certain = True
+
+    def gone_ids(self, now: float) -> set[str]:
+        """Return the removed servers whose flows are lost for certain."""
+        removals_by_id = self.removals_by_id.items()
+        return {i for i, removal in removals_by_id if self.is_gone(removal.server, now)}
 
     def can_apply(self, update: Update) -> bool:
         """Tell whether the update builds on what is known here."""
--- a/hornbeamdeal/dsr/_catalog_reader.py
+++ b/hornbeamdeal/dsr/_catalog_reader.py
@@ -79,9 +79,14 @@
         self.peering: Spreader | None = None
 
     def note_changes(self, changes: list[tuple[str, Any]]) -> None:
-        """Log what changed of servers, and drop evidence on those that left."""
+        """Log what changed of servers, and settle the evidence on those that left.
+
+        A server that both its callers and the store have lost is gone for certain.
+        """
         for change, server in changes:
             if change == "removed":
+                if self.evidence.has_died(server.server_id):
+                    self.catalog.mark_gone(server.server_id)
                 self.evidence.forget(server.server_id)
             self.journal.event(
                 f"server_{change}",
--- a/hornbeamdeal/dsr/_evidence.py
+++ b/hornbeamdeal/dsr/_evidence.py
@@ -48,9 +48,14 @@
 
 
 class ServerEvidence:
-    """What is known of one server. Times are monotonic seconds."""
+    """What is known of one server. Times are monotonic seconds.
+
+    `has_died` tells that the server was dead at some time since it last proved
+    alive; `is_dead` only that recent signs show it.
+    """
 
     __slots__ = (
+        "has_died",
         "is_dead",
         "is_out",
         "own_progress_at",
@@ -65,6 +70,7 @@
         self.signs: list[Sign] = []
         self.is_out = False
         self.is_dead = False
+        self.has_died = False
         self.trial_due = 0.0
 
     def openings(self) -> int:
@@ -144,6 +150,7 @@
         if at <= evidence.progress_at:
             return
         evidence.progress_at = at
+        evidence.has_died = False
         evidence.signs = [s for s in evidence.signs if s.sent_at > at]
         if evidence.is_out and evidence.openings() < OUT_OPENINGS:
             evidence.is_out = evidence.is_dead = False
@@ -179,8 +186,18 @@
             evidence.trial_due = now + TRIAL_SECONDS
             self._note_change(server_id, "server_dead", evidence, now)
         evidence.is_dead = shows_death
+        evidence.has_died = evidence.has_died or shows_death
         return shows_death
 
+    def has_died(self, server_id: str) -> bool:
+        """Tell whether a server was dead and has not proved alive since."""
+        evidence = self.evidence_by_id.get(server_id)
+        return evidence is not None and evidence.has_died
+
+    def dead_ids(self, now: float) -> set[str]:
+        """Return the servers whose flows are lost."""
+        return {i for i in self.evidence_by_id if self.is_dead(i, now)}
+
     def progress_at(self, server_id: str) -> float:
         """Return when a server last proved alive."""
         evidence = self.evidence_by_id.get(server_id)
--- a/hornbeamdeal/dsr/_forwarder.py
+++ b/hornbeamdeal/dsr/_forwarder.py
@@ -76,13 +76,30 @@
             self._continue(segment, now)
 
     def tick(self, now: float) -> None:
-        """Forget idle flows, and requests that nobody waits for any more."""
+        """End flows that wait in vain, and forget idle ones."""
+        self._reset_waiting(now)
         if self.catalog.routes is None or not self.flows.is_sweep_due(now):
             return
         for flow in self.flows.flows_by_key.values():
             self.outstanding.expire(flow, now)
         self.flows.sweep(self.catalog.routes.idle_timeout, now)
 
+    def _reset_waiting(self, now: float) -> None:
+        """Reset flows whose callers wait for an answer of a lost server.
+
+        A caller whose request was acknowledged sends nothing more, and would
+        wait until its time is over.
+        """
+        lost = self.evidence.dead_ids(now) | self.catalog.gone_ids(now)
+        lost = {i for i in lost if self.outstanding.count(i)}
+        if not lost:
+            return
+        for flow_key, flow in list(self.flows.flows_by_key.items()):
+            server = flow.awaited
+            if flow.is_established and server and server.server_id in lost:
+                acknowledgement = flow.acknowledgement or 0
+                self._reset(flow_key, acknowledgement, server, "answer_awaited", now)
+
     def explain(self, address_key: bytes, now: float) -> dict[str, Any]:
         """Return what an opening packet for an address would get, and why."""
         route = self.catalog.route_of(address_key)
@@ -218,12 +235,12 @@
             self.journal.count("packets_dropped", "unknown_handle")
             return
         if self.catalog.is_gone(server, now):
-            self._reset(segment, server, "server_gone", now)
+            self._reset_caller(segment, server, "server_gone", now)
             return
         flow = self.flows.get(segment.flow_key) or self._adopt(segment, now)
         self._note(segment, flow, server, now)
         if segment.length and self.evidence.is_dead(server.server_id, now):
-            self._reset(segment, server, "server_silent", now)
+            self._reset_caller(segment, server, "server_silent", now)
             return
         self.transmit(
             self.codec.encapsulate(segment.data, server.number), server.address
@@ -277,21 +294,33 @@
             age_ms=round(1000 * age),
         )
         if is_certain:
-            self.transmit(*self.codec.make_reset(segment))
+            self.transmit(*self.codec.make_reset(segment.flow_key, 0))
+
+    def _reset_caller(
+        self, segment: Segment, server: Server, reason: str, now: float
+    ) -> None:
+        self._reset(segment.flow_key, segment.acknowledgement, server, reason, now)
 
-    def _reset(self, segment: Segment, server: Server, reason: str, now: float) -> None:
-        self._forget(segment.flow_key)
+    def _reset(
+        self,
+        flow_key: bytes,
+        acknowledgement: int,
+        server: Server,
+        reason: str,
+        now: float,
+    ) -> None:
+        self._forget(flow_key)
         self.journal.count("flows_reset", reason)
         self.journal.event(
             "flow_reset",
-            flow=self.codec.describe_flow(segment.flow_key),
+            flow=self.codec.describe_flow(flow_key),
             server=server.server_id,
             reason=reason,
             alive_ms=self._alive_ms(server, now),
             revision=self.catalog.revision,
             age_ms=round(1000 * self.catalog.age(now)),
         )
-        self.transmit(*self.codec.make_reset(segment))
+        self.transmit(*self.codec.make_reset(flow_key, acknowledgement))
 
 
 def hash_caller(segment: Segment) -> int:
--- a/hornbeamdeal/platform/_packets.py
+++ b/hornbeamdeal/platform/_packets.py
@@ -65,14 +65,16 @@
         tail = data[_HANDLE_OFFSET + _HANDLE.size :]
         return data[:_HANDLE_OFFSET] + _HANDLE.pack(handle) + tail
 
-    def make_reset(self, segment: Segment) -> tuple[bytes, tuple[str, int]]:
-        """Return a reset for the caller of a packet, and where to send it."""
-        caller = segment.flow_key[:_ADDRESS_OFFSET]
-        # A reset's sequence number must be near what the caller acknowledged
-        # last; an opening packet carries its copy number there instead.
-        sequence = 0 if segment.is_opening else segment.acknowledgement
-        ends = segment.address_key + caller
-        data = _HEADER.pack(sequence, 0, 0, 0, ends, FLAG_RST, 0, 0)
+    def make_reset(
+        self, flow_key: bytes, acknowledgement: int
+    ) -> tuple[bytes, tuple[str, int]]:
+        """Return a reset for the caller of a flow, and where to send it.
+
+        Its sequence number must be near what the caller acknowledged last.
+        """
+        caller = flow_key[:_ADDRESS_OFFSET]
+        ends = flow_key[_ADDRESS_OFFSET:] + caller
+        data = _HEADER.pack(acknowledgement, 0, 0, 0, ends, FLAG_RST, 0, 0)
         return data, (_decode_end(caller)[0], self.caller_port)
 
     def describe_flow(self, flow_key: bytes) -> str:
--- a/tests/dsr/evidence.feature
+++ b/tests/dsr/evidence.feature
@@ -107,6 +107,71 @@
     And the caller sends an acknowledgement without data
     Then the data goes to the flow's server
 
+  Scenario: a caller that waits for a dead server's answer is told at once
+    Guards against callers that wait until their time is over: the server took the
+    request before it died, so that the caller sends nothing more.
+    Given a dsr host that knows servers 1,2,3
+    When a server answers the flow that caller 100.64.0.1:1000 opens
+    And the caller sends data
+    And 1000 ms pass
+    And peers report that the flow's server leaves openings of 3 callers unanswered
+    And 400 ms pass
+    And the host looks after its flows
+    Then the caller gets a reset near its last acknowledgement
+    When 100 ms pass
+    And the host looks after its flows
+    Then nothing is sent
+
+  Scenario: a dead server whose entry is removed is gone at once
+    Guards against callers whose requests go unanswered between the moment when the
+    signs of a crash are old and the one when a missing entry alone is proof.
+    Given a dsr host that knows servers 1,2,3
+    When a server answers the flow that caller 100.64.0.1:1000 opens
+    And 1000 ms pass
+    And peers report that the flow's server leaves openings of 3 callers unanswered
+    And 400 ms pass
+    And the host looks after its flows
+    And 2500 ms pass
+    And the caller sends data
+    Then the data goes to the flow's server
+    When the flow's server is removed from the store
+    And the host looks after its flows
+    Then the caller gets a reset near its last acknowledgement
+
+  Scenario: a server that came back before its entry lapsed is not gone at once
+    Guards against resets of a living server's flows on signs that it refuted.
+    Given a dsr host that knows servers 1,2,3
+    When a server answers the flow that caller 100.64.0.1:1000 opens
+    And 1000 ms pass
+    And peers report that the flow's server leaves openings of 3 callers unanswered
+    And 400 ms pass
+    And the host looks after its flows
+    And a peer reports that the flow's server is alive
+    And the flow's server is removed from the store
+    And the caller sends data
+    Then the data goes to the flow's server
+
+  Scenario: idle flows of a dead server are left alone until their next data
+    Guards against resets of flows that nobody waits on.
+    Given a dsr host that knows servers 1,2,3
+    When a server answers the flow that caller 100.64.0.1:1000 opens
+    And the caller sends data
+    And the server answers the caller's request
+    And 1000 ms pass
+    And peers report that the flow's server leaves openings of 3 callers unanswered
+    And 400 ms pass
+    And the host looks after its flows
+    Then nothing is sent
+
+  Scenario: opening packets of a dead server are not reset
+    Guards against ending a caller's attempt that another server still can take.
+    Given a dsr host that knows servers 1,2,3
+    When caller 100.64.0.1:1000 opens a flow
+    And peers report that the opened flow's server leaves openings of 3 callers unanswered
+    And 400 ms pass
+    And the host looks after its flows
+    Then nothing is sent
+
   Scenario Outline: a living server is never reset, whatever is lost on the way
     Guards against resets that the flow's server did not send. The server answers
     each packet that reaches it; packets and answers are lost at random, work
--- a/tests/fakes/dsr_lossy_world.py
+++ b/tests/fakes/dsr_lossy_world.py
@@ -73,6 +73,10 @@
                 for host in self.hosts:
                     if host is not sender:
                         self._tell(host, server_id, sign)
+        for host in self.hosts:
+            before = len(host.sent)
+            host.forwarder.tick(self.clock.monotonic())
+            self.resets += len(host.sent) - before
         self.after(PEER_DELAY_SECONDS, self._tell_peers)
 
     def _tell(self, host, server_id, sign):
--- a/tests/steps/dsr_evidence_steps.py
+++ b/tests/steps/dsr_evidence_steps.py
@@ -2,9 +2,15 @@
 
 from behave import given, then, when
 from fakes.dsr_lossy_world import LossyWorld
-from fakes.dsr_world import FLAG_ACK, SERVER_SEQUENCE, make_packet, make_server
+from fakes.dsr_world import (
+    FLAG_ACK,
+    SERVER_SEQUENCE,
+    handle_in,
+    make_packet,
+    make_server,
+)
 
-from hornbeamdeal.dsr import EvidenceBook, Sign
+from hornbeamdeal.dsr import CatalogReader, EvidenceBook, Sign
 
 SERVER = make_server(1)
 SENT_BEFORE_SECONDS = 0.2
@@ -77,6 +83,59 @@
     context.sent = context.host.receive(packet)
 
 
+@when(
+    "peers report that the opened flow's server leaves openings of 3 callers unanswered"
+)
+def when_peers_report_opened(context):
+    [(data, _)] = context.sent
+    servers = context.host.catalog.servers_by_id.values()
+    handle = handle_in(data)
+    context.server = next(server for server in servers if server.handle == handle)
+    when_peers_report(context)
+
+
+@when("the server answers the caller's request")
+def when_answered(context):
+    packet = make_packet(
+        context.caller,
+        FLAG_ACK,
+        sequence=11,
+        ack=SERVER_SEQUENCE + 2000,
+        echo=context.handle,
+    )
+    context.host.receive(packet)
+
+
+@when("a peer reports that the flow's server is alive")
+def when_reported_alive(context):
+    now = context.host.clock.monotonic()
+    context.host.evidence.note_progress(context.server.server_id, now)
+
+
+@when("the flow's server is removed from the store")
+def when_removed(context):
+    context.revision += 1
+    removed = {context.server.server_id: context.revision}
+    changes = context.host.learn(revision=context.revision, base=0, removed=removed)
+    host = context.host
+    reader = CatalogReader(
+        clock=host.clock,
+        catalog=host.catalog,
+        duty=None,
+        evidence=host.evidence,
+        journal=host.journal,
+        source=None,
+    )
+    reader.note_changes(changes)
+
+
+@when("the host looks after its flows")
+def when_tick(context):
+    before = len(context.host.sent)
+    context.host.forwarder.tick(context.host.clock.monotonic())
+    context.sent = context.host.sent[before:]
+
+
 @then("the server is out")
 def then_out(context):
     assert context.book.is_out(SERVER.server_id)
--- a/tests/steps/platform_adapter_steps.py
+++ b/tests/steps/platform_adapter_steps.py
@@ -73,7 +73,9 @@
 
 @then("its reset is the page's example, sent to {ip} at the callers' port")
 def then_reset(context, ip):
-    data, destination = context.codec.make_reset(context.segment)
+    data, destination = context.codec.make_reset(
+        context.segment.flow_key, context.segment.acknowledgement
+    )
     assert data == EXAMPLE_RESET, data.hex()
     assert destination == (ip, CALLER_PORT)
 
