Let a death count beside a missing entry for three seconds only

Change: the death must have been shown within the last 3 s. Test: "a death long ago says nothing about a missing entry", which fails without the bound.

--- a/hornbeamdeal/dsr/_catalog_reader.py
+++ b/hornbeamdeal/dsr/_catalog_reader.py
@@ -83,9 +83,10 @@
 
         A server that both its callers and the store have lost is gone for certain.
         """
+        now = self.clock.monotonic()
         for change, server in changes:
             if change == "removed":
-                if self.evidence.has_died(server.server_id):
+                if self.evidence.died_lately(server.server_id, now):
                     self.catalog.mark_gone(server.server_id)
                 self.evidence.forget(server.server_id)
             self.journal.event(
--- a/hornbeamdeal/dsr/_evidence.py
+++ b/hornbeamdeal/dsr/_evidence.py
@@ -28,6 +28,10 @@
 STALLED_REPETITIONS = 2
 STALLED_FLOWS = 2
 STALLED_SILENCE_SECONDS = 0.8
+# A death counts for this long beside a missing entry. A crashed server's entry
+# goes after three of its reports, when its signs are a second or two old; one that
+# was cut off and is back has reported again by then.
+DEATH_MEMORY_SECONDS = 3.0
 
 
 class Sign:
@@ -50,12 +54,11 @@
 class ServerEvidence:
     """What is known of one server. Times are monotonic seconds.
 
-    `has_died` tells that the server was dead at some time since it last proved
-    alive; `is_dead` only that recent signs show it.
+    `died_at` is when signs last showed its death, unless it proved alive since.
     """
 
     __slots__ = (
-        "has_died",
+        "died_at",
         "is_dead",
         "is_out",
         "own_progress_at",
@@ -70,7 +73,7 @@
         self.signs: list[Sign] = []
         self.is_out = False
         self.is_dead = False
-        self.has_died = False
+        self.died_at = float("-inf")
         self.trial_due = 0.0
 
     def openings(self) -> int:
@@ -150,7 +153,7 @@
         if at <= evidence.progress_at:
             return
         evidence.progress_at = at
-        evidence.has_died = False
+        evidence.died_at = float("-inf")
         evidence.signs = [s for s in evidence.signs if s.sent_at > at]
         if evidence.is_out and evidence.openings() < OUT_OPENINGS:
             evidence.is_out = evidence.is_dead = False
@@ -186,13 +189,14 @@
             evidence.trial_due = now + TRIAL_SECONDS
             self._note_change(server_id, "server_dead", evidence, now)
         evidence.is_dead = shows_death
-        evidence.has_died = evidence.has_died or shows_death
+        if shows_death:
+            evidence.died_at = now
         return shows_death
 
-    def has_died(self, server_id: str) -> bool:
-        """Tell whether a server was dead and has not proved alive since."""
+    def died_lately(self, server_id: str, now: float) -> bool:
+        """Tell whether a server was dead a moment ago and did not prove alive."""
         evidence = self.evidence_by_id.get(server_id)
-        return evidence is not None and evidence.has_died
+        return evidence is not None and now - evidence.died_at < DEATH_MEMORY_SECONDS
 
     def dead_ids(self, now: float) -> set[str]:
         """Return the servers whose flows are lost."""
--- a/tests/dsr/evidence.feature
+++ b/tests/dsr/evidence.feature
@@ -151,6 +151,20 @@
     And the caller sends data
     Then the data goes to the flow's server
 
+  Scenario: a death long ago says nothing about a missing entry
+    Guards against resets of a living server's flows: it was cut off once, had no
+    flows since that prove it alive, and its entry lapses while the store is away.
+    Given a dsr host that knows servers 1,2,3
+    When a server answers the flow that caller 100.64.0.1:1000 opens
+    And 1000 ms pass
+    And peers report that the flow's server leaves openings of 3 callers unanswered
+    And 400 ms pass
+    And the host looks after its flows
+    And 5000 ms pass
+    And the flow's server is removed from the store
+    And the caller sends data
+    Then the data goes to the flow's server
+
   Scenario: idle flows of a dead server are left alone until their next data
     Guards against resets of flows that nobody waits on.
     Given a dsr host that knows servers 1,2,3
