Specify when a missing entry proves that a server is gone

No flow of a server that lives without trouble is reset. Without the wait for the entry's return, the bound on the memory of a death, or taking back what is listed again, a counterexample is found.

--- /dev/null
+++ b/tests/dsr/resets.feature
@@ -0,0 +1,14 @@
+Feature: model of resets on missing entries
+
+  Scenario: no run of the model resets a flow of a living server
+    Then the flow resets model holds with all mechanisms
+
+  Scenario Outline: each mechanism is needed
+    Guards against a model that would hold without what it is meant to check.
+    Then the flow resets model fails without <mechanism>
+
+    Examples:
+      | mechanism    |
+      | return_wait  |
+      | death_memory |
+      | relisting    |
--- /dev/null
+++ b/tests/steps/dsr_resets_steps.py
@@ -0,0 +1,18 @@
+"""Steps for the model of resets."""
+
+from behave import then
+from specs.flow_resets import check
+
+
+@then("the flow resets model holds with all mechanisms")
+def then_holds(context):
+    result = check()
+    assert result["exhaustive"]
+    assert result["properties"]["true_resets"]["holds"] is True, result
+
+
+@then("the flow resets model fails without {mechanism}")
+def then_fails(context, mechanism):
+    result = check(**{mechanism: False})["properties"]["true_resets"]
+    assert result["holds"] is False
+    assert result["counterexample"]
