Move the steps of held requests to a file of their own

What both files need of the fleet of dispatchers stands in tests/fakes/requests_fleet.py. No step changes.

--- /dev/null
+++ b/tests/steps/requests_held_steps.py
@@ -0,0 +1,69 @@
+"""Steps for requests at an address that is held."""
+
+from behave import then, when
+from fakes.requests_fleet import answer, replies, send
+
+from hornbeamdeal.kernel import AnswerStatus, RequestReceived
+from hornbeamdeal.requests._replay import make_request
+
+
+def send_booking(context, host, name, **event_fields):
+    request = make_request(name, run_token=context.run_token)
+    context.fleet.handle(host, RequestReceived(request, **event_fields), 1.0)
+
+
+def ask_for_token(context):
+    send(context.fleet, "a", "t", 0.0)
+    (_, answer), *_ = context.fleet.replies
+    context.run_token = answer.run_token
+
+
+@when("a booking with a run token is at a server of host a")
+def when_booking_runs(context):
+    ask_for_token(context)
+    send_booking(context, "a", "b1")
+    assert len(context.fleet.dispatches) == 1
+
+
+@when("a booking with a run token arrives at host a while the address is held")
+def when_booking_held(context):
+    ask_for_token(context)
+    send_booking(context, "a", "b1", is_held=True)
+
+
+@when("its copy arrives at host {host:w} while the address is held")
+def when_copy_held(context, host):
+    send_booking(context, host, "b2", is_held=True)
+
+
+@when("its copy arrives at host a")
+def when_copy(context):
+    send_booking(context, "a", "b2")
+
+
+@then("no booking is answered as not run")
+def then_none_refused(context):
+    answers = replies(context.fleet)
+    assert not [a for a in answers.values() if a.status is AnswerStatus.NOT_RUN], (
+        answers
+    )
+
+
+@when("the server answers the booking")
+def when_booking_answered(context):
+    ((_, dispatch),) = context.fleet.dispatches
+    answer(context.fleet, dispatch, 1.5, payload=b"booked")
+
+
+@then("both copies of the booking get that answer")
+def then_both_answered(context):
+    answers = replies(context.fleet)
+    assert [answers[name].payload for name in ("b1", "b2")] == [b"booked"] * 2, answers
+
+
+@then("both are answered as not run and no server got the booking")
+def then_both_refused(context):
+    answers = replies(context.fleet)
+    statuses = [answers[name].status for name in ("b1", "b2")]
+    assert statuses == [AnswerStatus.NOT_RUN] * 2, answers
+    assert context.fleet.dispatches == []
--- a/tests/steps/requests_steps.py
+++ b/tests/steps/requests_steps.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 
 from behave import given, then, when
+from fakes.requests_fleet import answer, replies, send
 from hypothesis import HealthCheck, settings
 from hypothesis.stateful import run_state_machine_as_test
 from minicheck import check_safety
@@ -12,7 +13,6 @@
 from hornbeamdeal.admission._base import Start, Ticket
 from hornbeamdeal.kernel import (
     AcknowledgeRequest,
-    AnswerStatus,
     CancelDispatch,
     Count,
     Endpoint,
@@ -21,8 +21,6 @@
     ParameterError,
     RelayRequest,
     RequestReceived,
-    ServerAnswer,
-    ServerAnswered,
     Version,
 )
 from hornbeamdeal.requests import (
@@ -78,29 +76,12 @@
     assert len(context.fleet.dispatches) == number
 
 
-def send(fleet, host, name, now, **fields):
-    return fleet.handle(host, RequestReceived(make_request(name, **fields)), now)
-
-
-def answer(fleet, dispatch, now, outcome=Outcome.ANSWERED, payload=b""):
-    event = ServerAnswered(
-        dispatch.server.server_id,
-        dispatch.exchange_id,
-        ServerAnswer(outcome, payload=payload),
-    )
-    return fleet.handle("a", event, now)
-
-
 def count(fleet, name):
     return sum(
         a.amount for a in fleet.actions if isinstance(a, Count) and a.name == name
     )
 
 
-def replies(fleet):
-    return {r.token.decode(): a for r, a in fleet.replies}
-
-
 @when('the requests specification "{name}" is explored')
 def when_explored(context, name):
     if name in ("answer_matching", *answers.VARIANTS):
@@ -310,68 +291,6 @@
     assert replies(context.fleet)["late"].run_token is not None
 
 
-def send_booking(context, host, name, **event_fields):
-    request = make_request(name, run_token=context.run_token)
-    context.fleet.handle(host, RequestReceived(request, **event_fields), 1.0)
-
-
-def ask_for_token(context):
-    send(context.fleet, "a", "t", 0.0)
-    (_, answer), *_ = context.fleet.replies
-    context.run_token = answer.run_token
-
-
-@when("a booking with a run token is at a server of host a")
-def when_booking_runs(context):
-    ask_for_token(context)
-    send_booking(context, "a", "b1")
-    assert len(context.fleet.dispatches) == 1
-
-
-@when("a booking with a run token arrives at host a while the address is held")
-def when_booking_held(context):
-    ask_for_token(context)
-    send_booking(context, "a", "b1", is_held=True)
-
-
-@when("its copy arrives at host {host:w} while the address is held")
-def when_copy_held(context, host):
-    send_booking(context, host, "b2", is_held=True)
-
-
-@when("its copy arrives at host a")
-def when_copy(context):
-    send_booking(context, "a", "b2")
-
-
-@then("no booking is answered as not run")
-def then_none_refused(context):
-    answers = replies(context.fleet)
-    assert not [a for a in answers.values() if a.status is AnswerStatus.NOT_RUN], (
-        answers
-    )
-
-
-@when("the server answers the booking")
-def when_booking_answered(context):
-    ((_, dispatch),) = context.fleet.dispatches
-    answer(context.fleet, dispatch, 1.5, payload=b"booked")
-
-
-@then("both copies of the booking get that answer")
-def then_both_answered(context):
-    answers = replies(context.fleet)
-    assert [answers[name].payload for name in ("b1", "b2")] == [b"booked"] * 2, answers
-
-
-@then("both are answered as not run and no server got the booking")
-def then_both_refused(context):
-    answers = replies(context.fleet)
-    statuses = [answers[name].status for name in ("b1", "b2")]
-    assert statuses == [AnswerStatus.NOT_RUN] * 2, answers
-    assert context.fleet.dispatches == []
-
-
 @when("requests admission starts a ticket that has ended")
 def when_stale_start(context):
     dispatcher = context.fleet.dispatchers_by_id["a"]
@@ -530,8 +449,8 @@
 def then_home_token(context):
     assert len(relays(context.fleet)) == 2
     desk = context.fleet.dispatchers_by_id[SPARES[0]].desk_
-    for request, answer in context.fleet.replies:
-        token = desk.read(replace(request, run_token=answer.run_token), SERVICE)
+    for request, issued in context.fleet.replies:
+        token = desk.read(replace(request, run_token=issued.run_token), SERVICE)
         assert token.endpoint == context.fleet.endpoint("a")
 
 
