Keep overloaded hosts from taking live servers for dead

(1) Uploads stall for a while at two hosts; the server acknowledges what arrives, but callers' acknowledgements stand still during an upload, so nothing showed it alive. (2) Two opening packets were late on one host's link, and the first retransmission of a long request counted as the sign of a second host.

Change: an upload that goes on past the caller's window shows the server alive; a first retransmission is no sign of a second host, and hosts of stalled flows are counted over those flows alone; the time at which a packet leaves the host's own link counts, not when it was sent; packets that waited in the socket behind a backlog or a pause are no retransmissions, and time in which the host was behind is no silence of a server.

Ruled out: packets forwarded elsewhere, handles, the catalog (age 0.2 s).

The scenarios that took a first retransmission for a second host's sign were wrong by that trace; they now use a second one, and a new scenario forbids the first.

--- a/hornbeamdeal/dsr/__init__.py
+++ b/hornbeamdeal/dsr/__init__.py
@@ -9,12 +9,14 @@
 __getattr__, __dir__, __all__ = attach(
     __name__,
     {
+        "_arrival_bound": ["ArrivalBound"],
         "_base": ["CallerPacket", "Journal", "PacketCodec", "Transmit"],
         "_catalog": ["Catalog"],
         "_catalog_reader": ["CatalogReader"],
         "_driver": ["Node"],
         "_flow_table": ["Flow", "FlowTable"],
         "_forwarder": ["Forwarder"],
+        "_link_queue": ["LinkQueue"],
         "_news_codec": ["decode_news", "encode_news"],
         "_outstanding_requests": ["OutstandingRequests"],
         "_packet_io": ["PacketSender", "forward_pending"],
--- a/hornbeamdeal/dsr/_driver.py
+++ b/hornbeamdeal/dsr/_driver.py
@@ -123,6 +123,7 @@
         while True:
             await trio.sleep(TICK_SECONDS)
             now = self.clock.monotonic()
+            self.forwarder.arrivals.start_turn(now)
             self.forwarder.tick(now)
             for server_id, change, reason in self.server_health.pop_changes():
                 self.journal.event(change, server=server_id, **reason)
--- a/hornbeamdeal/dsr/_flow_table.py
+++ b/hornbeamdeal/dsr/_flow_table.py
@@ -10,6 +10,8 @@
 # Sequence numbers wrap at 32 bits (RFC 9293, 3.4).
 SEQUENCE_MODULUS = 1 << 32
 HALF_SEQUENCE_SPACE = 1 << 31
+# Data that a caller sends at most before it is acknowledged: 16 packets of 1,200 bytes.
+MAXIMUM_WINDOW_BYTES = 16 * 1200
 
 
 def is_after(later: int, earlier: int) -> bool:
@@ -23,8 +25,10 @@
     `retransmissions` counts retransmissions of data since the server last showed
     that it received something. `sent_at` is when data or an opening packet was last
     forwarded. `awaited_server` is the server whose answer the flow is counted as
-    awaiting. `tried_servers` are those that got the opening packet. Times are
-    monotonic seconds.
+    awaiting. `tried_servers` are those that got the opening packet.
+    `unacknowledged_sequence` is a position in the request that the server had not
+    acknowledged when a packet from there was last forwarded. Times are monotonic
+    seconds.
     """
 
     __slots__ = (
@@ -38,6 +42,7 @@
         "retransmissions",
         "sent_at",
         "tried_servers",
+        "unacknowledged_sequence",
     )
 
     def __init__(self, now: float):
@@ -49,15 +54,16 @@
         self.acknowledgement: int | None = None
         self.retransmissions = 0
         self.sent_at = now
+        self.unacknowledged_sequence: int | None = None
         self.awaited_server: Server | None = None
         self.awaited_since = now
 
     def record_packet(self, packet: CallerPacket, now: float) -> bool:
         """Record a packet of the open flow; return whether it shows the server alive.
 
-        The caller acknowledges more only if the server sent something. New data
-        shows nothing, since it may merely fit the caller's window, and neither do
-        retransmissions.
+        The caller acknowledges more only if the server sent something, and sends more
+        than its window only if the server acknowledged some of it. Other new data shows
+        nothing, since it may merely fit the window, and neither do retransmissions.
         """
         self.last_packet_at = now
         is_alive = not self.is_established
@@ -67,27 +73,43 @@
         ):
             is_alive = True
             self.acknowledgement = packet.acknowledgement
+            self.unacknowledged_sequence = None
+        if self._exceeds_window(packet):
+            is_alive = True
+            self.unacknowledged_sequence = packet.sequence
         if is_alive:
             self.retransmissions = 0
         return is_alive
 
-    def record_data(self, packet: CallerPacket, now: float) -> float | None:
-        """Record a packet's data; return the silence if it is a retransmission.
+    def _exceeds_window(self, packet: CallerPacket) -> bool:
+        if not packet.payload_bytes or self.unacknowledged_sequence is None:
+            return False
+        end = packet.sequence + packet.payload_bytes
+        in_flight = (end - self.unacknowledged_sequence) % SEQUENCE_MODULUS
+        return MAXIMUM_WINDOW_BYTES < in_flight < HALF_SEQUENCE_SPACE
+
+    def record_data(
+        self, packet: CallerPacket, arrived_at: float, departs_at: float
+    ) -> float | None:
+        """Record a packet's data; return when it was last sent if it is repeated.
 
-        The silence is the time in seconds since data was last forwarded. Packets
-        that were queued together, here or on the way, are no retransmissions.
+        Packets that were queued together, here or on the way, are no
+        retransmissions.
         """
         end = (packet.sequence + packet.payload_bytes) % SEQUENCE_MODULUS
+        if self.unacknowledged_sequence is None:
+            self.unacknowledged_sequence = packet.sequence
         if self.next_sequence is None or is_after(end, self.next_sequence):
             self.next_sequence = end
-            self.sent_at = now
+            self.sent_at = departs_at
             return None
-        silence = now - self.sent_at
-        if silence < MINIMUM_RETRANSMISSION_SECONDS:
+        sent_at = self.sent_at
+        if arrived_at - sent_at < MINIMUM_RETRANSMISSION_SECONDS:
             return None
+        self.unacknowledged_sequence = packet.sequence
         self.retransmissions += 1
-        self.sent_at = now
-        return silence
+        self.sent_at = departs_at
+        return sent_at
 
 
 class FlowTable:
--- a/hornbeamdeal/dsr/_forwarder.py
+++ b/hornbeamdeal/dsr/_forwarder.py
@@ -4,9 +4,11 @@
 import zlib
 from typing import Any
 
+from ._arrival_bound import ArrivalBound
 from ._base import CallerPacket, Journal, PacketCodec, Transmit
 from ._catalog import Catalog
 from ._flow_table import MINIMUM_RETRANSMISSION_SECONDS, Flow, FlowTable
+from ._link_queue import LinkQueue
 from ._outstanding_requests import OutstandingRequests
 from ._placement import Placement
 from ._records import NO_HANDLE, Route, Server
@@ -34,6 +36,7 @@
         "server_health",
         "flows",
         "journal",
+        "link_queue",
         "outstanding",
         "placement",
         "random_state",
@@ -49,6 +52,7 @@
         server_health: ServerHealth,
         flows: FlowTable,
         journal: Journal,
+        link_queue: LinkQueue,
         outstanding: OutstandingRequests,
         placement: Placement,
         transmit: Transmit,
@@ -59,21 +63,33 @@
         self.server_health = server_health
         self.flows = flows
         self.journal = journal
+        self.link_queue = link_queue
         self.outstanding = outstanding
         self.placement = placement
         self.transmit = transmit
         self.random_state = random_state
         self._random = random.Random(random_state)
 
-    def receive(self, data: bytes, now: float) -> None:
-        """Handle one packet received at monotonic time `now`."""
+    @property
+    def arrivals(self) -> ArrivalBound:
+        """Return since when this host has kept up with its packets."""
+        return self.server_health.arrivals
+
+    def receive(self, data: bytes, now: float, arrived_at: float | None = None) -> None:
+        """Handle one packet read at monotonic time `now`.
+
+        `arrived_at` is the earliest time at which the packet may have arrived, if it
+        may have waited in the socket.
+        """
+        if arrived_at is None:
+            arrived_at = now
         packet = self.codec.decode(data)
         if packet is None:
             self.journal.count("packets_dropped", "malformed")
         elif packet.is_opening:
-            self._handle_opening(packet, now)
+            self._handle_opening(packet, now, arrived_at)
         else:
-            self._forward_established(packet, now)
+            self._forward_established(packet, now, arrived_at)
 
     def tick(self, now: float) -> None:
         """Reset flows that await a dead or gone server's answer; drop idle records."""
@@ -134,7 +150,9 @@
             "alive_ms": self._progress_age_ms(server, now),
         }
 
-    def _handle_opening(self, packet: CallerPacket, now: float) -> None:
+    def _handle_opening(
+        self, packet: CallerPacket, now: float, arrived_at: float
+    ) -> None:
         if not self.catalog.is_complete:
             self.journal.count("packets_dropped", "no_catalog")
             return
@@ -149,9 +167,9 @@
         flow.last_packet_at = now
         is_duplicate = packet.copy_number <= flow.last_copy_number
         if flow.tried_servers and (
-            is_duplicate or now - flow.sent_at < MINIMUM_RETRANSMISSION_SECONDS
+            is_duplicate or arrived_at - flow.sent_at < MINIMUM_RETRANSMISSION_SECONDS
         ):
-            self._send_opening(packet, flow.tried_servers[-1])
+            self._send_opening(packet, flow.tried_servers[-1], now)
             return
         self._place(packet, route, flow, now)
 
@@ -175,8 +193,8 @@
         self.placement.record_placement(server, now)
         self.outstanding.start(flow, server, now)
         flow.tried_servers.append(server)
-        flow.sent_at = now
-        self._send_opening(packet, server)
+        self._send_opening(packet, server, now)
+        flow.sent_at = self.link_queue.departure(now)
         self.journal.count(
             "flows_placed", "repeated" if flow.last_copy_number else "first"
         )
@@ -222,7 +240,7 @@
         """Send the packet also to a server that is out, if its trial is due."""
         server = self.server_health.pick_trial_server(listed, now)
         if server is not None:
-            self._send_opening(packet, server)
+            self._send_opening(packet, server, now)
             self.journal.count("flows_placed", "trial")
 
     def _pick_service(self, route: Route) -> str:
@@ -232,11 +250,17 @@
         names = list(weights)
         return self._random.choices(names, [weights[name] for name in names])[0]
 
-    def _send_opening(self, packet: CallerPacket, server: Server) -> None:
-        data = self.codec.write_handle(packet.data, server.handle)
-        self.transmit(self.codec.encapsulate(data, server.number), server.address)
+    def _send_opening(self, packet: CallerPacket, server: Server, now: float) -> None:
+        self._send(self.codec.write_handle(packet.data, server.handle), server, now)
+
+    def _send(self, data: bytes, server: Server, now: float) -> None:
+        datagram = self.codec.encapsulate(data, server.number)
+        self.transmit(datagram, server.address)
+        self.link_queue.add(len(datagram), now)
 
-    def _forward_established(self, packet: CallerPacket, now: float) -> None:
+    def _forward_established(
+        self, packet: CallerPacket, now: float, arrived_at: float
+    ) -> None:
         if packet.handle == NO_HANDLE:
             self.journal.count("packets_dropped", "no_handle")
             return
@@ -248,20 +272,23 @@
             self._reset_flow_of_packet(packet, server, "server_gone", now)
             return
         flow = self.flows.get(packet.flow_key) or self._adopt_flow(packet, now)
-        self._record_packet(packet, flow, server, now)
+        self._record_packet(packet, flow, server, now, arrived_at)
         if packet.payload_bytes and self.server_health.is_dead(server.server_id, now):
             self._reset_flow_of_packet(packet, server, "server_silent", now)
             return
-        self.transmit(
-            self.codec.encapsulate(packet.data, server.number), server.address
-        )
+        self._send(packet.data, server, now)
 
     def _record_packet(
-        self, caller_packet: CallerPacket, flow: Flow, server: Server, now: float
+        self,
+        caller_packet: CallerPacket,
+        flow: Flow,
+        server: Server,
+        now: float,
+        arrived_at: float,
     ) -> None:
         """Update the flow record and the server's health from a packet."""
         if not flow.is_established:
-            self.journal.observe("handshake_seconds", now - flow.sent_at)
+            self.journal.observe("handshake_seconds", max(0.0, now - flow.sent_at))
         is_new = not flow.is_established
         if flow.record_packet(caller_packet, now):
             self.server_health.record_local_progress(server.server_id, now)
@@ -274,11 +301,12 @@
         if not caller_packet.payload_bytes:
             return
         self.outstanding.start(flow, server, now)
-        silence_seconds = flow.record_data(caller_packet, now)
-        if silence_seconds is not None:
+        departs_at = self.link_queue.departure(now)
+        sent_at = flow.record_data(caller_packet, arrived_at, departs_at)
+        if sent_at is not None:
             self.journal.count("data_repeated")
             packet = UnansweredPacket(
-                now - silence_seconds, hash_caller(caller_packet), flow.retransmissions
+                sent_at, hash_caller(caller_packet), flow.retransmissions
             )
             self.server_health.record_unanswered(server.server_id, packet, now)
 
--- a/hornbeamdeal/dsr/_packet_io.py
+++ b/hornbeamdeal/dsr/_packet_io.py
@@ -31,17 +31,21 @@
     packet_socket: socket.socket, forwarder: Forwarder, now: float
 ) -> None:
     """Forward up to one batch of the packets queued in the socket."""
+    arrivals = forwarder.arrivals
+    arrived_at = arrivals.start_turn(now)
     for _ in range(RECEIVE_BATCH):
         try:
             data = packet_socket.recv(MAXIMUM_DATAGRAM_BYTES)
         except BlockingIOError:
+            arrivals.end_batch(arrived_at, now, is_drained=True)
             return
         try:
-            forwarder.receive(data, now)
+            forwarder.receive(data, now, arrived_at)
         except Exception as error:
             # Routers may deliver the same packet to every host in turn, so a packet
             # that triggers a bug must not end the process.
             log_unexpected_error(forwarder.journal, error)
+    arrivals.end_batch(arrived_at, now, is_drained=False)
 
 
 def log_unexpected_error(journal: Journal, error: Exception) -> None:
--- a/hornbeamdeal/dsr/_peering.py
+++ b/hornbeamdeal/dsr/_peering.py
@@ -14,6 +14,7 @@
 from hornbeamdeal.wire import BulkPort, PeerCodec, UdpPort
 
 from ._base import Journal
+from ._link_queue import LinkQueue
 from ._packet_io import log_unexpected_error
 from ._peer_sync import PeerSync
 from ._records import RouteTable, Update
@@ -32,6 +33,7 @@
         "codec",
         "peer_sync",
         "journal",
+        "link_queue",
         "listen",
         "port_",
     )
@@ -44,12 +46,14 @@
         codec: PeerCodec,
         peer_sync: PeerSync,
         journal: Journal,
+        link_queue: LinkQueue,
         listen: Endpoint,
     ):
         self.clock = clock
         self.codec = codec
         self.peer_sync = peer_sync
         self.journal = journal
+        self.link_queue = link_queue
         self.listen = listen
         self.port_ = UdpPort(listen=listen, handle_datagram=self._receive)
         self.bulk_port_ = BulkPort(listen=listen, handle_datagram=self._receive)
@@ -107,6 +111,7 @@
 
     def _send(self, data: bytes, action: SendPeerMessage) -> None:
         self.journal.count("peer_messages_sent", type(action.message).__name__)
+        self.link_queue.add(len(data), self.clock.monotonic())
         if action.over_tcp or len(data) > MAXIMUM_DATAGRAM_BYTES:
             self._nursery.start_soon(self.bulk_port_.send, data, action.endpoint)
         else:
--- a/hornbeamdeal/dsr/_server_health.py
+++ b/hornbeamdeal/dsr/_server_health.py
@@ -5,6 +5,7 @@
 exchange reports of unanswered packets and of servers seen alive.
 """
 
+from ._arrival_bound import ArrivalBound
 from ._records import Server
 
 # Unanswered packets count for this long; a server with little traffic has few.
@@ -24,7 +25,8 @@
 DEAD_SILENCE_SECONDS = 0.35
 # Criteria from open flows alone. A live server repeats its acknowledgement when
 # data is retransmitted, so a second retransmission to a live server is rare; the
-# first is common where a request takes longer than the caller's timer.
+# first is common where a request takes longer than the caller's timer, so it does
+# not count as the sign of another host.
 STALLED_MINIMUM_RETRANSMISSIONS = 2
 STALLED_MINIMUM_CALLERS = 2
 STALLED_SILENCE_SECONDS = 0.8
@@ -53,6 +55,16 @@
         self.retransmissions = retransmissions
         self.host = host
 
+    @property
+    def is_opening(self) -> bool:
+        """Return whether the packet opened a flow."""
+        return self.retransmissions == 0
+
+    @property
+    def is_stalled(self) -> bool:
+        """Return whether a live server would have acknowledged the data."""
+        return self.retransmissions >= STALLED_MINIMUM_RETRANSMISSIONS
+
 
 class HealthRecord:
     """Health of one server. Times are monotonic seconds.
@@ -84,12 +96,14 @@
 
     def count_unanswered_openings(self) -> int:
         """Return the number of unanswered opening packets."""
-        return sum(packet.retransmissions == 0 for packet in self.unanswered)
+        return sum(packet.is_opening for packet in self.unanswered)
 
-    def meets_death_criteria(self, now: float) -> bool:
+    def meets_death_criteria(self, now: float, resumed_at: float) -> bool:
         """Return whether a live server would have been noticed by now.
 
-        Old unanswered packets are dropped: the server may be back unnoticed.
+        Old unanswered packets are dropped: the server may be back unnoticed. Time
+        before `resumed_at`, when this host was behind with its packets, is no silence
+        of the server.
         """
         self.unanswered = [
             p for p in self.unanswered if now - p.sent_at < UNANSWERED_WINDOW_SECONDS
@@ -97,22 +111,17 @@
         if not self.unanswered:
             return False
         first_sent_at = min(packet.sent_at for packet in self.unanswered)
-        silence = now - max(self.progress_at, first_sent_at)
+        silence = now - max(self.progress_at, first_sent_at, resumed_at)
         if (
             self.is_out
             and silence >= DEAD_SILENCE_SECONDS
             and self._has_independent_sources()
         ):
             return True
-        stalled = [
-            p
-            for p in self.unanswered
-            if p.retransmissions >= STALLED_MINIMUM_RETRANSMISSIONS
-        ]
-        callers = {packet.caller for packet in stalled}
+        stalled = [packet for packet in self.unanswered if packet.is_stalled]
         return (
-            len(callers) >= STALLED_MINIMUM_CALLERS
-            and len(self._reporting_hosts()) >= DEAD_MINIMUM_HOSTS
+            len({packet.caller for packet in stalled}) >= STALLED_MINIMUM_CALLERS
+            and len({packet.host for packet in stalled}) >= DEAD_MINIMUM_HOSTS
             and silence >= STALLED_SILENCE_SECONDS
         )
 
@@ -123,32 +132,36 @@
             "openings": self.count_unanswered_openings(),
             "repeated": len(self.unanswered) - self.count_unanswered_openings(),
             "callers": len({packet.caller for packet in self.unanswered}),
-            "hosts": len(self._reporting_hosts()),
+            "hosts": len({packet.host for packet in self.unanswered}),
             "silence_ms": round(1000 * (now - max(self.progress_at, first_sent_at))),
         }
 
     def _has_independent_sources(self) -> bool:
         callers = {packet.caller for packet in self.unanswered}
+        hosts = {p.host for p in self.unanswered if p.is_opening or p.is_stalled}
         return (
             len(self.unanswered) >= DEAD_MINIMUM_PACKETS
             and len(callers) >= DEAD_MINIMUM_CALLERS
-            and len(self._reporting_hosts()) >= DEAD_MINIMUM_HOSTS
+            and len(hosts) >= DEAD_MINIMUM_HOSTS
         )
 
-    def _reporting_hosts(self) -> set[str]:
-        return {packet.host for packet in self.unanswered}
-
 
 class ServerHealth:
     """Decides from this host's and peers' reports which servers are out or dead.
 
     A server that is out gets no new flows. Open flows of a dead server are reset,
     so that their callers reconnect elsewhere at once.
+
+    Parameters
+    ----------
+    arrivals : ArrivalBound or None
+        Says since when this host has kept up with its packets.
     """
 
-    __slots__ = ("records_by_id", "_changes", "_recovered", "_unsent")
+    __slots__ = ("arrivals", "records_by_id", "_changes", "_recovered", "_unsent")
 
-    def __init__(self):
+    def __init__(self, arrivals: ArrivalBound | None = None):
+        self.arrivals = arrivals or ArrivalBound()
         self.records_by_id: dict[str, HealthRecord] = {}
         self._changes: list[tuple[str, str, dict[str, int]]] = []
         self._recovered: list[str] = []
@@ -208,7 +221,8 @@
         record = self.records_by_id.get(server_id)
         if record is None or not (record.unanswered or record.is_dead):
             return False
-        meets_death_criteria = record.meets_death_criteria(now)
+        resumed_at = self.arrivals.resumed_at
+        meets_death_criteria = record.meets_death_criteria(now, resumed_at)
         if meets_death_criteria and not record.is_dead:
             record.is_out = True
             record.trial_due = now + TRIAL_INTERVAL_SECONDS
--- a/hornbeamdeal/platform/_assembly.py
+++ b/hornbeamdeal/platform/_assembly.py
@@ -10,6 +10,7 @@
     FlowTable,
     Forwarder,
     Journal,
+    LinkQueue,
     OutstandingRequests,
     PacketSender,
     ReadScheduler,
@@ -56,6 +57,7 @@
         server_health=ServerHealth(),
         flows=FlowTable(),
         journal=journal,
+        link_queue=LinkQueue(link_mbps=settings.link_mbps),
         outstanding=outstanding,
         placement=placement,
         transmit=PacketSender(packet_socket, journal),
@@ -114,7 +116,7 @@
             generate_incarnation(wall_seconds),
             listen,
             settings.zone,
-            link_mbps=settings.link_mbps,
+            link_mbps=round(settings.link_mbps),
         )
         return Membership(
             own=own,
@@ -141,5 +143,6 @@
         codec=codec,
         peer_sync=peer_sync,
         journal=node.journal,
+        link_queue=node.forwarder.link_queue,
         listen=listen,
     )
--- a/hornbeamdeal/platform/_settings.py
+++ b/hornbeamdeal/platform/_settings.py
@@ -75,7 +75,7 @@
         "host_id": reader.field("node_name", str),
         "ip": reader.field("ip", str),
         "zone": reader.field("zone", str),
-        "link_mbps": round(reader.number("limits", "link_mbps")),
+        "link_mbps": reader.number("limits", "link_mbps"),
         # `datagram_addr` receives callers' packets, `ready` the readiness checks.
         "packet_listen": reader.endpoint("listen", "datagram_addr"),
         "readiness_listen": reader.endpoint("listen", "ready"),
--- a/tests/dsr/server_health.feature
+++ b/tests/dsr/server_health.feature
@@ -26,9 +26,25 @@
   Scenario: a server that is silent to callers of several hosts is dead
     Given a server that was last seen alive 1 s ago
     When opening packets of callers a,b go unanswered
-    And a peer reports that data of caller c is retransmitted 1 time
+    And a peer reports that data of caller c is retransmitted 2 times
     Then the server is dead after 0.4 s
 
+  Scenario: a first retransmission at another host is no sign of a second host
+    Guards against resets of a live server's flows: two opening packets were late on
+    one host's link, and a request at another host took longer than the caller's timer.
+    Given a server that was last seen alive 1 s ago
+    When opening packets of callers a,b go unanswered
+    And a peer reports that data of caller c is retransmitted 1 time
+    Then the server is not dead after 0.4 s
+    And the server is out of rotation
+
+  Scenario: a stalled flow needs another at a second host
+    Guards against resets by flows that stall at one host alone.
+    Given a server that was last seen alive 1 s ago
+    When data of callers a,b is retransmitted 2 times
+    And a peer reports that data of caller c is retransmitted 1 time
+    Then the server is not dead after 0.9 s
+
   Scenario: unanswered packets of one caller don't make a server dead
     Guards against resets when one caller's own link fails.
     Given a server that was last seen alive 1 s ago
@@ -61,7 +77,7 @@
   Scenario: a dead server that is seen alive is back in rotation
     Given a server that was last seen alive 1 s ago
     When opening packets of callers a,b go unanswered
-    And a peer reports that data of caller c is retransmitted 1 time
+    And a peer reports that data of caller c is retransmitted 2 times
     Then the server is dead after 0.4 s
     When the server is seen alive
     Then the server is not dead after 0.4 s
@@ -72,7 +88,7 @@
     flows had not used the server since.
     Given a server that was last seen alive 1 s ago
     When opening packets of callers a,b go unanswered
-    And a peer reports that data of caller c is retransmitted 1 time
+    And a peer reports that data of caller c is retransmitted 2 times
     Then the server is dead after 0.4 s
     And the server is not dead after 2.5 s
     And the server is out of rotation
@@ -198,3 +214,65 @@
       | 1     | 0.002 |
       | 3     | 0.002 |
       | 3     | 0.01  |
+
+  Scenario Outline: flows of a live server are never reset over narrow links
+    Guards against resets when uploads fill the links of several hosts: packets wait
+    or are dropped there while the server acknowledges what reaches it.
+    Then in 4 runs with <hosts> hosts at <mbps> Mbit/s and <uploaders> uploading callers no flow is reset
+
+    Examples:
+      | hosts | mbps | uploaders |
+      | 3     | 2    | 9         |
+      | 6     | 1    | 9         |
+
+  Scenario: an upload that goes on shows the server alive
+    Guards against a silence that is none: the caller's acknowledgements stand still
+    during an upload.
+    Given a dsr host that knows servers 1,2,3
+    When a server answers the flow that caller 100.64.0.1:1000 opens
+    And the caller sends packets 1 to 16 of an upload
+    And 1000 ms pass
+    And the caller sends packets 17 to 17 of an upload
+    Then the server was seen alive 0 ms ago
+
+  Scenario: an upload within the caller's window shows nothing
+    Guards against a dead server that passes for alive.
+    Given a dsr host that knows servers 1,2,3
+    When a server answers the flow that caller 100.64.0.1:1000 opens
+    And the caller sends packets 1 to 1 of an upload
+    And 1000 ms pass
+    And the caller sends packets 2 to 16 of an upload
+    Then the server was seen alive 1000 ms ago
+
+  Scenario: packets that wait at the host's own link are not unanswered
+    Guards against a host that takes servers out because its own link is full.
+    Given a dsr host at 1 Mbit/s that knows servers 1,2,3
+    When caller 100.64.0.1:1000 opens a flow
+    And 60000 bytes are sent to peers
+    And caller 100.64.0.2:1000 opens a flow
+    And 200 ms pass
+    And the caller repeats its opening packet
+    Then no opening packet counts as unanswered
+
+  Scenario: a host that was paused does not take its own pause for silence
+    Guards against resets by a host that judges before it has read what arrived
+    while it stood still.
+    Given a dsr host that knows servers 1,2,3
+    When a server answers the flow that caller 100.64.0.1:1000 opens
+    And the caller sends data
+    And 1000 ms pass
+    And peers report unanswered opening packets of 3 callers for the flow's server
+    And the host runs its loop
+    And 600 ms pass
+    And the host runs its loop
+    Then nothing is sent
+    When the host runs its loop for 400 ms
+    Then the caller gets a reset near its last acknowledgement
+
+  Scenario: a packet and its retransmission that waited together are not unanswered
+    Guards against an overloaded host that reads a caller's packet and its repetition
+    one batch after the other.
+    Given a dsr host that knows servers 1,2,3
+    When a server answers the flow that caller 100.64.0.1:1000 opens
+    And the host reads 100 packets and a repetition, 300 ms a batch
+    Then no data counts as repeated
--- a/tests/fakes/dsr_host.py
+++ b/tests/fakes/dsr_host.py
@@ -4,6 +4,7 @@
     Catalog,
     FlowTable,
     Forwarder,
+    LinkQueue,
     OutstandingRequests,
     Route,
     RouteTable,
@@ -83,10 +84,22 @@
     )
 
 
+class QueuedPackets:
+    """A socket in which packets are queued."""
+
+    def __init__(self, packets=()):
+        self.packets = list(packets)
+
+    def recv(self, size):
+        if not self.packets:
+            raise BlockingIOError
+        return self.packets.pop(0)
+
+
 class Host:
     """A forwarder that records the datagrams it sends."""
 
-    def __init__(self, clock=None, zone=ZONE, random_state=1):
+    def __init__(self, clock=None, zone=ZONE, random_state=1, link_mbps=None):
         self.clock = clock or ManualClock(100.0)
         self.journal = RecordingJournal()
         self.catalog = Catalog()
@@ -99,6 +112,7 @@
             server_health=self.server_health,
             flows=FlowTable(),
             journal=self.journal,
+            link_queue=LinkQueue(link_mbps=link_mbps),
             outstanding=self.outstanding,
             placement=make_placement(
                 "least_outstanding",
--- a/tests/fakes/dsr_lossy_simulation.py
+++ b/tests/fakes/dsr_lossy_simulation.py
@@ -29,16 +29,29 @@
 # Share of requests whose service time is up to half a second.
 LONG_REQUEST_SHARE = 0.05
 REQUEST_BYTES = 100
+# Datagrams that would wait longer at a host's link are dropped.
+LINK_BUFFER_SECONDS = 0.3
+HEADER_BYTES = 28
 
 
 class LossySimulation:
-    """Runs callers that open flows and send requests to live servers."""
+    """Runs callers that open flows and send requests to live servers.
 
-    def __init__(self, *, hosts, loss, random_state):
+    `link_mbps` limits what each host sends. `uploaders` callers send long requests
+    one after the other.
+    """
+
+    def __init__(self, *, hosts, loss, random_state, link_mbps=None, uploaders=0):
         self.clock = ManualClock(10.0)
         self.loss = loss
         self.random = random.Random(random_state)
-        self.hosts = [Host(self.clock, random_state=i) for i in range(hosts)]
+        self.uploaders = uploaders
+        self.link_mbps = link_mbps
+        self._link_free_at = {}
+        self.uploaded = 0
+        self.hosts = [
+            Host(self.clock, random_state=i, link_mbps=link_mbps) for i in range(hosts)
+        ]
         servers = [make_server(i + 1) for i in range(SERVERS)]
         for host in self.hosts:
             host.apply_update(servers, make_routes())
@@ -52,6 +65,10 @@
             self.schedule(
                 self.random.random(), lambda i=index: CallerFlow(self, i).open()
             )
+        for index in range(CALLERS, CALLERS + self.uploaders):
+            self.schedule(
+                self.random.random(), lambda i=index: UploadingFlow(self, i).open()
+            )
         self.schedule(PEER_DELAY_SECONDS, self._exchange_reports)
         end = self.clock.monotonic() + seconds
         while self._queue and self._queue[0][0] < end:
@@ -69,22 +86,41 @@
         """Return whether a packet is lost, at random."""
         return self.random.random() < self.loss
 
+    def send_over_link(self, host, data, action):
+        """Run an action once a datagram has left the host, unless it is dropped."""
+        if self.link_mbps is None:
+            self.schedule(ONE_WAY_SECONDS, action)
+            return
+        now = self.clock.monotonic()
+        free_at = max(now, self._link_free_at.get(host, now))
+        if free_at - now > LINK_BUFFER_SECONDS:
+            return
+        free_at += 8 * (len(data) + HEADER_BYTES) / (self.link_mbps * 1e6)
+        self._link_free_at[host] = free_at
+        self.schedule(free_at - now + ONE_WAY_SECONDS, action)
+
     def _exchange_reports(self):
         for sender in self.hosts:
             for server_id, packet in sender.server_health.pop_unsent():
                 for host in self.hosts:
                     if host is not sender:
-                        self._report(host, server_id, packet)
+                        self._report(host, sender, server_id, packet)
         for host in self.hosts:
             before = len(host.sent)
             host.forwarder.tick(self.clock.monotonic())
             self.resets += len(host.sent) - before
         self.schedule(PEER_DELAY_SECONDS, self._exchange_reports)
 
-    def _report(self, host, server_id, packet):
+    def _report(self, host, sender, server_id, packet):
+        name = f"peer {self.hosts.index(sender)}"
         reported = UnansweredPacket(
-            packet.sent_at, packet.caller, packet.retransmissions, "peer"
+            packet.sent_at, packet.caller, packet.retransmissions, name
         )
+        seen_at = sender.server_health.local_progress_at(server_id)
+        host.server_health.record_progress(server_id, seen_at)
+        if host.server_health.local_progress_at(server_id) >= packet.sent_at:
+            seen_at = host.server_health.local_progress_at(server_id)
+            sender.server_health.record_progress(server_id, seen_at)
         host.server_health.record_unanswered(
             server_id, reported, self.clock.monotonic()
         )
@@ -123,7 +159,9 @@
             if is_reset(data):
                 self.simulation.resets += 1
             elif not self.simulation.is_lost() and not self.simulation.is_lost():
-                self.simulation.schedule(ONE_WAY_SECONDS, lambda d=data: answer(d))
+                self.simulation.send_over_link(
+                    self.host, data, lambda d=data: answer(d)
+                )
 
     def _answer_opening(self, data):
         if self.handle is not None:
@@ -210,4 +248,79 @@
     def _open_next(self):
         if not self.is_done:
             self.is_done = True
-            CallerFlow(self.simulation, self.index, self.port + 1).open()
+            type(self)(self.simulation, self.index, self.port + 1).open()
+
+
+class UploadingFlow(CallerFlow):
+    """One flow of a caller that sends a long request, 16 packets ahead at most.
+
+    The server acknowledges all data that it has without a gap. The caller repeats
+    the first packet that is missing.
+    """
+
+    PACKETS = 34
+    PACKET_BYTES = 1200
+    WINDOW = 16
+    LONGEST_TIMER_SECONDS = 1.6
+    UPLOAD_SECONDS = 6.0
+
+    def request(self):
+        """Send the first window of the request."""
+        self.acknowledged = self.next_packet = 0
+        self.received = set()
+        self.timer_seconds = DATA_RETRANSMISSION_SECONDS[0]
+        self.timer_version = 0
+        self._send_window()
+        self.simulation.schedule(self.UPLOAD_SECONDS, self._open_next)
+
+    def _send_window(self):
+        end = min(self.acknowledged + self.WINDOW, self.PACKETS)
+        while self.next_packet < end and not self.is_done:
+            self._send_packet(self.next_packet)
+            self.next_packet += 1
+        self._start_timer()
+
+    def _start_timer(self):
+        self.timer_version += 1
+        version = self.timer_version
+        self.simulation.schedule(self.timer_seconds, lambda: self._time_out(version))
+
+    def _time_out(self, version):
+        is_finished = self.is_done or self.acknowledged == self.PACKETS
+        if version != self.timer_version or is_finished:
+            return
+        self._send_packet(self.acknowledged)
+        self.timer_seconds = min(2 * self.timer_seconds, self.LONGEST_TIMER_SECONDS)
+        self._start_timer()
+
+    def _send_packet(self, number):
+        packet = make_packet(
+            self.caller,
+            FLAG_ACK,
+            sequence=1 + number * self.PACKET_BYTES,
+            ack=self.ack,
+            echo=self.handle,
+            data=b"u" * self.PACKET_BYTES,
+        )
+        self._deliver(packet, lambda data: self._receive_packet(number))
+
+    def _receive_packet(self, number):
+        self.received.add(number)
+        acknowledged = self.acknowledged
+        while acknowledged in self.received:
+            acknowledged += 1
+        if not self.simulation.is_lost():
+            self.simulation.schedule(
+                ONE_WAY_SECONDS, lambda: self._take_acknowledgement(acknowledged)
+            )
+
+    def _take_acknowledgement(self, acknowledged):
+        if acknowledged <= self.acknowledged or self.is_done:
+            return
+        self.acknowledged = acknowledged
+        self.timer_seconds = DATA_RETRANSMISSION_SECONDS[0]
+        if acknowledged == self.PACKETS:
+            self.simulation.uploaded += 1
+            self._open_next()
+        else:
+            self._send_window()
--- a/tests/fakes/weakened_node.py
+++ b/tests/fakes/weakened_node.py
@@ -30,7 +30,7 @@
 def without_handle():
     """Forward packets of open flows to a random server."""
 
-    def forward_established(self, packet, now):
+    def forward_established(self, packet, now, arrived_at):
         servers = list(self.catalog.servers_by_id.values())
         server = self._random.choice(servers)
         data = self.codec.encapsulate(packet.data, server.number)
--- a/tests/steps/dsr_forwarding_steps.py
+++ b/tests/steps/dsr_forwarding_steps.py
@@ -10,6 +10,7 @@
     HEADER_BYTES,
     SERVER_SEQUENCE,
     Host,
+    QueuedPackets,
     handle_in,
     is_reset,
     make_packet,
@@ -143,18 +144,6 @@
     context.sent = context.host.receive(packets[fault])
 
 
-class QueuedPackets:
-    """A socket in which packets are queued."""
-
-    def __init__(self, packets):
-        self.packets = packets
-
-    def recv(self, size):
-        if not self.packets:
-            raise BlockingIOError
-        return self.packets.pop(0)
-
-
 @when("a packet that raises an exception is queued before an opening packet")
 def when_exception(context):
     host = context.host
--- a/tests/steps/dsr_server_health_steps.py
+++ b/tests/steps/dsr_server_health_steps.py
@@ -4,17 +4,26 @@
 from fakes.dsr_host import (
     FLAG_ACK,
     SERVER_SEQUENCE,
+    Host,
+    QueuedPackets,
     handle_in,
     make_packet,
+    make_routes,
     make_server,
 )
 from fakes.dsr_lossy_simulation import LossySimulation
 
-from hornbeamdeal.dsr import CatalogReader, ServerHealth, UnansweredPacket
+from hornbeamdeal.dsr import (
+    CatalogReader,
+    ServerHealth,
+    UnansweredPacket,
+    forward_pending,
+)
 
 SERVER = make_server(1)
 SENT_BEFORE_SECONDS = 0.2
-RUNS = 20
+UPLOAD_PACKET_BYTES = 1200
+LOOP_SECONDS = 0.1
 
 
 @given("a server that was last seen alive {seconds:g} s ago")
@@ -188,3 +197,101 @@
         simulation.run(seconds=30.0)
         assert simulation.answered > 500, simulation.answered
         assert simulation.resets == 0, f"seed {seed}: {simulation.resets} resets"
+
+
+@then(
+    "in {runs:d} runs with {hosts:d} hosts at {mbps:g} Mbit/s and {uploaders:d}"
+    " uploading callers no flow is reset"
+)
+def then_never_reset_over_links(context, runs, hosts, mbps, uploaders):
+    for seed in range(runs):
+        simulation = LossySimulation(
+            hosts=hosts,
+            loss=0.001,
+            random_state=seed,
+            link_mbps=mbps,
+            uploaders=uploaders,
+        )
+        simulation.run(seconds=30.0)
+        assert simulation.uploaded > 30, simulation.uploaded
+        assert simulation.resets == 0, f"seed {seed}: {simulation.resets} resets"
+
+
+@given("a dsr host at {mbps:g} Mbit/s that knows servers 1,2,3")
+def given_host_with_link(context, mbps):
+    context.servers = [make_server(number) for number in (1, 2, 3)]
+    context.host = Host(link_mbps=mbps)
+    context.host.apply_update(context.servers, make_routes())
+    context.sent = []
+
+
+@when("the caller sends packets {first:d} to {last:d} of an upload")
+def when_upload(context, first, last):
+    for number in range(first, last + 1):
+        context.host.send_data(
+            context.caller,
+            context.handle,
+            sequence=1 + (number - 1) * UPLOAD_PACKET_BYTES,
+            length=UPLOAD_PACKET_BYTES,
+        )
+
+
+@then("the server was seen alive {milliseconds:d} ms ago")
+def then_seen_alive(context, milliseconds):
+    seen_at = context.host.server_health.local_progress_at(context.server.server_id)
+    age = context.host.clock.monotonic() - seen_at
+    assert round(1000 * age) == milliseconds, age
+
+
+@when("{count:d} bytes are sent to peers")
+def when_sent_to_peers(context, count):
+    context.host.forwarder.link_queue.add(count, context.host.clock.monotonic())
+
+
+@then("no opening packet counts as unanswered")
+def then_no_opening_unanswered(context):
+    assert context.host.journal.counts.get(("opening_unanswered", ""), 0) == 0
+
+
+def run_loop(host, packets=None):
+    """Run one turn of the host's event loop, its periodic tick first."""
+    now = host.clock.monotonic()
+    host.forwarder.arrivals.start_turn(now)
+    host.forwarder.tick(now)
+    forward_pending(packets or QueuedPackets(), host.forwarder, now)
+
+
+@when("the host runs its loop")
+def when_loop(context):
+    before = len(context.host.sent)
+    run_loop(context.host)
+    context.sent = context.host.sent[before:]
+
+
+@when("the host runs its loop for {milliseconds:d} ms")
+def when_loop_for(context, milliseconds):
+    before = len(context.host.sent)
+    for _ in range(round(milliseconds / 1000 / LOOP_SECONDS)):
+        context.host.clock.advance(LOOP_SECONDS)
+        run_loop(context.host)
+    context.sent = context.host.sent[before:]
+
+
+@when("the host reads {count:d} packets and a repetition, {milliseconds:d} ms a batch")
+def when_backlog(context, count, milliseconds):
+    fields = {"ack": SERVER_SEQUENCE, "echo": context.handle, "data": b"d" * 10}
+    packet = make_packet(context.caller, FLAG_ACK, sequence=1, **fields)
+    others = [
+        make_packet(f"100.64.1.{i}:1000", FLAG_ACK, sequence=1, **fields)
+        for i in range(count)
+    ]
+    queued = QueuedPackets([packet, *others, packet])
+    run_loop(context.host, queued)
+    context.host.clock.advance(milliseconds / 1000)
+    run_loop(context.host, queued)
+    assert not queued.packets
+
+
+@then("no data counts as repeated")
+def then_no_data_repeated(context):
+    assert context.host.journal.counts.get(("data_repeated", ""), 0) == 0
