Refuse malformed input everywhere and survive unexpected errors

Cause: property tests of each decoder (hypothesis) and a read of the loops. Paths by which one message ended a process: an entry or configuration of deeply nested arrays (RecursionError) and a store answer without events (KeyError) ended every node that read it; a request target such as //[ ended the process through its pages, readiness among them; a varint of a peer message that overflows; a settings file of nested arrays. One entry with 10^400 slots or a service with half a surrogate pair made each placement or each update of the service fail; weights that are NaN, negative or zero failed each opening packet. A PROXY header of length 0, a service that is no UTF-8 and a field beyond the header raised or read the payload's bytes as the service's name; a CRC32C field was not checked.

Change: decoders check types and ranges and give their typed error; a PROXY header is parsed within its own bytes and refused with a checksum; ticks, peer messages and reads log an unexpected error and go on. Items of a full read are kept by id (one pass instead of one for each item).

Also: a start that takes long reads the store again after 0.4 of the time limits.

--- a/hornbeamdeal/dsr/_catalog_reader.py
+++ b/hornbeamdeal/dsr/_catalog_reader.py
@@ -8,6 +8,7 @@
 
 from ._base import Journal
 from ._catalog import Catalog
+from ._packet_io import log_unexpected_error
 from ._read_scheduler import ReadScheduler
 from ._records import RouteTable, Update
 from ._server_health import ServerHealth
@@ -139,6 +140,12 @@
         except SourceError as error:
             self._record_failure(error, was_reading)
             return
+        except Exception as error:
+            # An answer that no check foresaw must not end the process, which serves
+            # callers with the catalog that it has.
+            log_unexpected_error(self.journal, error)
+            self._record_failure(SourceError("unexpected", repr(error)), was_reading)
+            return
         if self.read_scheduler.is_reading and not was_reading:
             self.journal.event("reading_started", position=self.read_scheduler.position)
 
--- a/hornbeamdeal/dsr/_driver.py
+++ b/hornbeamdeal/dsr/_driver.py
@@ -10,7 +10,7 @@
 from ._catalog import Catalog
 from ._catalog_reader import CatalogReader
 from ._forwarder import Forwarder
-from ._packet_io import forward_pending
+from ._packet_io import call_guarded, forward_pending
 from ._read_scheduler import ReadScheduler
 from ._server_health import ServerHealth
 
@@ -122,10 +122,13 @@
     async def _tick_forever(self) -> None:
         while True:
             await trio.sleep(TICK_SECONDS)
-            now = self.clock.monotonic()
-            self.forwarder.arrivals.start_turn(now)
-            self.forwarder.tick(now)
-            for server_id, change, reason in self.server_health.pop_changes():
-                self.journal.event(change, server=server_id, **reason)
-                self.journal.count("server_choice", change)
+            call_guarded(self.journal, self._tick)
             self.journal.flush()
+
+    def _tick(self) -> None:
+        now = self.clock.monotonic()
+        self.forwarder.arrivals.start_turn(now)
+        self.forwarder.tick(now)
+        for server_id, change, reason in self.server_health.pop_changes():
+            self.journal.event(change, server=server_id, **reason)
+            self.journal.count("server_choice", change)
--- a/hornbeamdeal/dsr/_packet_io.py
+++ b/hornbeamdeal/dsr/_packet_io.py
@@ -1,6 +1,8 @@
 """Non-blocking receipt and sending of packets."""
 
 import socket
+from collections.abc import Callable
+from typing import Any
 
 from ._base import Journal
 from ._forwarder import Forwarder
@@ -39,17 +41,29 @@
         except BlockingIOError:
             arrivals.end_batch(arrived_at, now, is_drained=True)
             return
-        try:
-            forwarder.receive(data, now, arrived_at)
-        except Exception as error:
-            # Routers may deliver the same packet to every host in turn, so a packet
-            # that triggers a bug must not end the process.
-            log_unexpected_error(forwarder.journal, error)
+        # Routers may deliver the same packet to every host in turn, so a packet that
+        # triggers a bug must not end the process.
+        call_guarded(forwarder.journal, forwarder.receive, data, now, arrived_at)
     arrivals.end_batch(arrived_at, now, is_drained=False)
 
 
+def call_guarded(
+    journal: Journal, function: Callable[..., Any], *arguments: Any
+) -> Any:
+    """Call a function and return its value; log an exception and return None.
+
+    One unexpected error, such as of a record that no check foresaw, must not end a
+    process whose other tasks serve callers.
+    """
+    try:
+        return function(*arguments)
+    except Exception as error:
+        log_unexpected_error(journal, error)
+        return None
+
+
 def log_unexpected_error(journal: Journal, error: Exception) -> None:
-    """Log and count an unexpected exception raised while handling a datagram."""
+    """Log and count an unexpected exception."""
     # Imported here, as loading it would delay the start.
     from traceback import format_exception
 
--- a/hornbeamdeal/dsr/_peering.py
+++ b/hornbeamdeal/dsr/_peering.py
@@ -15,7 +15,7 @@
 
 from ._base import Journal
 from ._link_queue import LinkQueue
-from ._packet_io import log_unexpected_error
+from ._packet_io import call_guarded
 from ._peer_sync import PeerSync
 from ._records import RouteTable, Update
 
@@ -65,9 +65,7 @@
             self._nursery.start_soon(self.port_.run)
             self._nursery.start_soon(self.bulk_port_.run)
             while True:
-                actions = self.peer_sync.tick(self.clock.monotonic())
-                self.codec.incarnation = self.peer_sync.membership.own.incarnation
-                self._execute(actions)
+                call_guarded(self.journal, self._tick)
                 await trio.sleep(TICK_SECONDS)
 
     def broadcast(self, update: Update, previous: RouteTable | None) -> None:
@@ -80,6 +78,11 @@
         now = self.clock.monotonic()
         self._execute(self.peer_sync.handle(StopRequested(), now))
 
+    def _tick(self) -> None:
+        actions = self.peer_sync.tick(self.clock.monotonic())
+        self.codec.incarnation = self.peer_sync.membership.own.incarnation
+        self._execute(actions)
+
     def _receive(self, data: bytes, sender: Endpoint) -> None:
         decoded = self.codec.decode(data)
         if decoded.is_err():
@@ -92,11 +95,11 @@
             Endpoint(sender.ip, self.listen.port),
             datagram.message,
         )
-        try:
-            self._execute(self.peer_sync.handle(event, self.clock.monotonic()))
-        except Exception as error:
-            # A message with missing fields must not end the process.
-            log_unexpected_error(self.journal, error)
+        # A message with missing fields must not end the process.
+        call_guarded(self.journal, self._handle, event)
+
+    def _handle(self, event: Any) -> None:
+        self._execute(self.peer_sync.handle(event, self.clock.monotonic()))
 
     def _execute(self, actions: list[Any]) -> None:
         encoded: dict[int, bytes] = {}
--- a/hornbeamdeal/dsr/_source.py
+++ b/hornbeamdeal/dsr/_source.py
@@ -11,8 +11,8 @@
     """Raised when a read of the store fails or its answer is unusable.
 
     `reason` is one of `compacted` (the history after the revision is gone, so that a
-    full read is needed), `throttled`, `unavailable`, `missing`, `refused`, `lost`
-    and `garbled`.
+    full read is needed), `throttled`, `unavailable`, `missing`, `refused`, `lost`,
+    `garbled` and `unexpected`.
     """
 
     __slots__ = ("reason",)
--- a/hornbeamdeal/platform/_entries.py
+++ b/hornbeamdeal/platform/_entries.py
@@ -1,6 +1,7 @@
 """Decodes items of the store into records of the catalog."""
 
 import json
+import math
 from typing import Any
 
 from hornbeamdeal.dsr import Route, RouteTable, Server
@@ -11,6 +12,20 @@
 SERVER_PREFIX = "servers/"
 CONFIG_KEY = "op/config"
 SERVER_NUMBER_BYTES = 8
+# Messages between hosts carry integers of 32 and 64 bits.
+MAXIMUM_SLOTS = 2**31 - 1
+MAXIMUM_VERSION = 2**63 - 1
+MAXIMUM_IDLE_MILLISECONDS = 2**31 - 1
+# What decoding a value of an unknown writer raises if a field is missing or invalid.
+# Deeply nested arrays exceed the parser's recursion limit.
+_VALUE_ERRORS = (
+    ArithmeticError,
+    AttributeError,
+    KeyError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
 # `state` of a server's entry. A draining server keeps its flows and gets no new ones.
 _DRAINING_BY_STATE = {"ready": False, "draining": True}
 
@@ -34,11 +49,11 @@
             service=_check_text(fields["service"]),
             address=_parse_address(fields["address"]),
             zone=_check_text(fields["zone"]),
-            slots=_check_integer(fields["slots"]),
+            slots=_check_integer(fields["slots"], MAXIMUM_SLOTS),
             is_draining=_DRAINING_BY_STATE[_check_text(fields["state"])],
             revision=revision,
         )
-    except (ValueError, KeyError, TypeError, OverflowError) as error:
+    except _VALUE_ERRORS as error:
         raise EntryError(f"entry of {server_id!r}: {error!r}") from error
 
 
@@ -46,13 +61,14 @@
     """Decode a configuration; raise EntryError if a field is missing or invalid."""
     try:
         fields = json.loads(value)
+        idle_ms = fields["limits"]["idle_timeout_ms"]
         routes = [_decode_route(route) for route in fields["routes"]]
         return RouteTable(
-            version=_check_integer(fields["version"]),
+            version=_check_integer(fields["version"], MAXIMUM_VERSION),
             routes_by_key={route.address_key: route for route in routes},
-            idle_timeout=_check_integer(fields["limits"]["idle_timeout_ms"]) / 1000,
+            idle_timeout=_check_integer(idle_ms, MAXIMUM_IDLE_MILLISECONDS) / 1000,
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except _VALUE_ERRORS as error:
         raise EntryError(f"configuration: {error!r}") from error
 
 
@@ -67,9 +83,9 @@
     return Route(
         address_key=encode_address(_check_text(fields["host"]), port),
         name=_check_text(fields["name"]),
-        weights_by_service={
-            _check_text(s["service"]): float(s["weight"]) for s in weighted_services
-        },
+        weights_by_service=_check_weights(
+            {_check_text(s["service"]): float(s["weight"]) for s in weighted_services}
+        ),
     )
 
 
@@ -91,10 +107,23 @@
 def _check_text(value: Any) -> str:
     if not isinstance(value, str) or not value:
         raise TypeError(f"{value!r} is not a non-empty string")
+    # JSON can hold half of a surrogate pair, which messages and logs can't.
+    value.encode()
     return value
 
 
-def _check_integer(value: Any) -> int:
-    if not isinstance(value, int) or isinstance(value, bool) or value < 0:
-        raise TypeError(f"{value!r} is not a non-negative integer")
+def _check_integer(value: Any, maximum: int) -> int:
+    if not isinstance(value, int) or isinstance(value, bool):
+        raise TypeError(f"{value!r} is not an integer")
+    if not 0 <= value <= maximum:
+        raise ValueError(f"an integer is not within 0 and {maximum}")
     return value
+
+
+def _check_weights(weights_by_service: dict[str, float]) -> dict[str, float]:
+    weights = weights_by_service.values()
+    if not all(math.isfinite(weight) and weight >= 0 for weight in weights):
+        raise ValueError(f"weights {weights_by_service!r} are not all finite and >= 0")
+    if not 0 < sum(weights) < math.inf:
+        raise ValueError(f"weights {weights_by_service!r} have no positive sum")
+    return weights_by_service
--- a/hornbeamdeal/platform/_settings.py
+++ b/hornbeamdeal/platform/_settings.py
@@ -7,6 +7,9 @@
 
 SETTINGS_VARIABLE = "HORNBEAMDEAL_NODE_FILE"
 
+# Larger numbers and those that are no number are errors of the file.
+MAXIMUM_NUMBER = 10**12
+
 
 class SettingsError(HornbeamdealError):
     """Raised when the settings file is missing or invalid; names the remedy."""
@@ -58,7 +61,7 @@
     try:
         with open(path, encoding="utf-8") as file:
             return decode_settings(json.load(file))
-    except (OSError, UnicodeDecodeError, json.JSONDecodeError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         text = f"{path} can't be read as JSON ({error}); use deploy/settings.template"
         raise SettingsError(text) from error
 
@@ -127,7 +130,8 @@
         """Return a number of a table; record a problem if it is missing or invalid."""
         fields = self.fields.get(parent)
         value = fields.get(name) if isinstance(fields, dict) else None
-        if isinstance(value, int | float) and not isinstance(value, bool):
+        is_number = isinstance(value, int | float) and not isinstance(value, bool)
+        if is_number and abs(value) <= MAXIMUM_NUMBER:
             return float(value)
         self.problems.append(f"{parent}.{name} must be a number")
         return 0.0
@@ -154,4 +158,4 @@
 
 def _parse_endpoint(text: Any) -> Endpoint | None:
     ip, separator, port = text.rpartition(":") if isinstance(text, str) else ("",) * 3
-    return Endpoint(ip, int(port)) if separator and ip and port.isdigit() else None
+    return Endpoint(ip, int(port)) if separator and ip and port.isdecimal() else None
--- a/hornbeamdeal/platform/_startup.py
+++ b/hornbeamdeal/platform/_startup.py
@@ -8,23 +8,41 @@
 import socket
 import sys
 import time
+from collections.abc import Callable
 
 from hornbeamdeal.dsr import Forwarder, Journal, SourceError, forward_pending
 from hornbeamdeal.kernel import Clock, Endpoint
 from hornbeamdeal.wire import BlockingHttpClient, run_blocking
 
+from ._settings import NodeSettings
 from ._store import StoreSource
 
 # Approximate maximum delay of packets while modules are imported.
 FORWARD_INTERVAL_SECONDS = 0.002
+# Share of the time limits for changes after which a start that still goes on reads the
+# catalog again. The first read may be seconds old, and no peer can be heard yet.
+RELOAD_SHARE = 0.4
 
 
-def load_catalog(store: Endpoint, forwarder: Forwarder, journal: Journal) -> None:
-    """Read the catalog once; log a failure, after which the node's reader retries."""
+def reload_interval(settings: NodeSettings) -> float:
+    """Return the seconds between two reads of the catalog during a long start."""
+    limit = min(settings.config_apply_seconds, settings.drain_seconds)
+    return RELOAD_SHARE * limit
+
+
+def load_catalog(
+    store: Endpoint, forwarder: Forwarder, journal: Journal, *, may_be_stale: bool
+) -> None:
+    """Read the catalog once; log a failure, after which the node's reader retries.
+
+    A stale copy counts as current, so that of the hosts that start together only one
+    makes the first consistent read.
+    """
+    started = time.monotonic()
     client = BlockingHttpClient(endpoint=store)
     source = StoreSource(client=client, journal=journal)
     try:
-        update = run_blocking(source.load(may_be_stale=True))
+        update = run_blocking(source.load(may_be_stale=may_be_stale))
     except SourceError as error:
         journal.event("load_failed", reason=error.reason, detail=error)
         return
@@ -32,21 +50,52 @@
         client.close()
     now = time.monotonic()
     forwarder.catalog.apply(update, now)
-    forwarder.catalog.confirm(now)
+    forwarder.catalog.confirm(now if may_be_stale else started)
 
 
 class ForwardingImportHook:
-    """Import hook that forwards queued packets and leaves imports to other finders."""
+    """Import hook that forwards queued packets and leaves imports to other finders.
+
+    Parameters
+    ----------
+    packet_socket : socket.socket
+        Receives callers' packets.
+    forwarder : Forwarder
+        Forwards them.
+    clock : Clock
+        Source of monotonic time.
+    reload_catalog : callable
+        Reads the catalog again.
+    reload_interval : float
+        Seconds after which a start that still goes on does so.
+    """
 
-    __slots__ = ("clock", "forwarder", "packet_socket", "_next_forward_at")
+    __slots__ = (
+        "clock",
+        "forwarder",
+        "packet_socket",
+        "reload_catalog",
+        "reload_interval",
+        "_next_forward_at",
+        "_next_reload_at",
+    )
 
     def __init__(
-        self, packet_socket: socket.socket, forwarder: Forwarder, clock: Clock
+        self,
+        packet_socket: socket.socket,
+        forwarder: Forwarder,
+        clock: Clock,
+        *,
+        reload_catalog: Callable[[], None],
+        reload_interval: float,
     ):
         self.packet_socket = packet_socket
         self.forwarder = forwarder
         self.clock = clock
+        self.reload_catalog = reload_catalog
+        self.reload_interval = reload_interval
         self._next_forward_at = 0.0
+        self._next_reload_at = clock.monotonic() + reload_interval
 
     def find_spec(self, fullname: str, path=None, target=None) -> None:
         """Forward queued packets if due; leave the search to the next finder."""
@@ -54,6 +103,10 @@
         if now >= self._next_forward_at:
             forward_pending(self.packet_socket, self.forwarder, now)
             self._next_forward_at = self.clock.monotonic() + FORWARD_INTERVAL_SECONDS
+        if now >= self._next_reload_at:
+            # Set first, since the read may import modules.
+            self._next_reload_at = now + self.reload_interval
+            self.reload_catalog()
 
     def install(self) -> None:
         """Install the hook before all other finders."""
--- a/hornbeamdeal/platform/_store.py
+++ b/hornbeamdeal/platform/_store.py
@@ -19,6 +19,8 @@
 # The store responds within milliseconds. A host that gives up after this time can
 # retry before the time limit for applying changes ends.
 RESPONSE_TIMEOUT_SECONDS = 0.7
+# Messages between hosts carry revisions in 64 bits.
+MAXIMUM_REVISION = 2**63 - 1
 # Extra time for the response to a watch after its wait time.
 WATCH_MARGIN_SECONDS = 0.5
 _REASON_BY_STATUS = {404: "missing", 410: "compacted", 429: "throttled"}
@@ -65,10 +67,14 @@
         while True:
             page = await self._get("kv-range", query)
             revision = min(revision, page["as_of"])
-            items += page["items"]
-            if not page["more_pages"]:
+            page_items = self._list_in(page, "items")
+            items += page_items
+            if not page.get("more_pages") or not page_items:
                 return self._make_update(items, None, revision)
-            query["after"] = page["items"][-1]["key"]
+            last_key = self._key_of(page_items[-1])
+            if last_key <= query.get("after", ""):
+                raise self._make_error("garbled", "a page that does not advance")
+            query["after"] = last_key
 
     async def watch(self, after_revision: int, wait_seconds: float) -> Update:
         """Return changes after a revision, waiting up to `wait_seconds` for the first.
@@ -79,7 +85,20 @@
         query["wait_ms"] = round(1000 * wait_seconds)
         timeout = wait_seconds + WATCH_MARGIN_SECONDS
         response = await self._get("kv-watch", query, timeout)
-        return self._make_update(response["events"], after_revision, response["as_of"])
+        events = self._list_in(response, "events")
+        return self._make_update(events, after_revision, response["as_of"])
+
+    def _list_in(self, response: dict[str, Any], name: str) -> list[Any]:
+        values = response.get(name)
+        if not isinstance(values, list):
+            raise self._make_error("garbled", f"{name} is no list")
+        return values
+
+    def _key_of(self, item: Any) -> str:
+        key = item.get("key") if isinstance(item, dict) else None
+        if not isinstance(key, str):
+            raise self._make_error("garbled", "an item without a key")
+        return key
 
     async def _get(
         self,
@@ -98,7 +117,7 @@
             raise self._make_error(reason, f"{target}: status {response.status}")
         try:
             return _check_response(json.loads(response.body))
-        except (ValueError, KeyError, TypeError) as error:
+        except (ValueError, KeyError, TypeError, RecursionError) as error:
             raise self._make_error("garbled", f"{target}: {error!r}") from error
 
     def _make_error(self, reason: str, text: str) -> SourceError:
@@ -109,15 +128,19 @@
         self, items: list[dict[str, Any]], base_revision: int | None, revision: int
     ) -> Update:
         update = Update(base_revision=base_revision, revision=revision, servers=[])
+        servers_by_id: dict[str, Server] = {}
         try:
             for item in items:
-                self._apply_item(update, item)
-        except (ValueError, KeyError, TypeError) as error:
+                self._apply_item(update, servers_by_id, item)
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
             raise self._make_error("garbled", f"an item: {error!r}") from error
+        update.servers = list(servers_by_id.values())
         return update
 
-    def _apply_item(self, update: Update, item: dict[str, Any]) -> None:
-        key, revision = item["key"], item["revision"]
+    def _apply_item(
+        self, update: Update, servers_by_id: dict[str, Server], item: dict[str, Any]
+    ) -> None:
+        key, revision = item["key"], _check_revision(item["revision"])
         if key == CONFIG_KEY:
             if not item.get("deleted"):
                 self._apply_routes(update, b64decode(item["value"]), revision)
@@ -126,12 +149,14 @@
             return
         server_id = key.removeprefix(SERVER_PREFIX)
         server = None if item.get("deleted") else self._decode_item(server_id, item)
-        update.servers = [s for s in update.servers if s.server_id != server_id]
+        # The store reports changes in the order of their revisions, so a later one
+        # replaces what it follows.
+        servers_by_id.pop(server_id, None)
         if server is None:
             update.removed[server_id] = revision
         else:
             update.removed.pop(server_id, None)
-            update.servers.append(server)
+            servers_by_id[server_id] = server
 
     def _apply_routes(self, update: Update, value: bytes, revision: int) -> None:
         try:
@@ -155,7 +180,14 @@
             self.journal.event("entry_unusable", key=key, problem=problem)
 
 
-def _check_response(fields: dict[str, Any]) -> dict[str, Any]:
-    if not isinstance(fields["as_of"], int):
-        raise TypeError("as_of is not an integer")
+def _check_response(fields: Any) -> dict[str, Any]:
+    if not isinstance(fields, dict):
+        raise TypeError("the response is no object")
+    _check_revision(fields["as_of"])
     return fields
+
+
+def _check_revision(value: Any) -> int:
+    if not isinstance(value, int) or not 0 <= value <= MAXIMUM_REVISION:
+        raise TypeError(f"{value!r} is not a revision")
+    return value
--- a/hornbeamdeal/platform/main.py
+++ b/hornbeamdeal/platform/main.py
@@ -37,7 +37,7 @@
 
     from ._assembly import make_forwarder, make_node
     from ._settings import SETTINGS_VARIABLE, SettingsError, load_settings
-    from ._startup import ForwardingImportHook, load_catalog
+    from ._startup import ForwardingImportHook, load_catalog, reload_interval
 
     path = os.environ.get(SETTINGS_VARIABLE)
     try:
@@ -50,8 +50,16 @@
     journal = BufferedJournal(host_id=settings.host_id, clock=clock)
     journal.event("starting", zone=settings.zone, store=settings.store)
     forwarder = make_forwarder(settings, packet_socket, journal)
-    load_catalog(settings.store, forwarder, journal)
-    import_hook = ForwardingImportHook(packet_socket, forwarder, clock)
+    load_catalog(settings.store, forwarder, journal, may_be_stale=True)
+    import_hook = ForwardingImportHook(
+        packet_socket,
+        forwarder,
+        clock,
+        reload_catalog=lambda: load_catalog(
+            settings.store, forwarder, journal, may_be_stale=False
+        ),
+        reload_interval=reload_interval(settings),
+    )
     import_hook.install()
     import trio
 
--- a/hornbeamdeal/wire/_http.py
+++ b/hornbeamdeal/wire/_http.py
@@ -166,7 +166,11 @@
         except httptools.HttpParserError as error:
             logging.getLogger("hornbeamdeal").info("no_http_request: %r", error)
             return None
-    parts = urlsplit(reader.url.decode("latin-1"))
+    try:
+        parts = urlsplit(reader.url.decode("latin-1"))
+    except ValueError as error:
+        logging.getLogger("hornbeamdeal").info("no_http_request: %r", error)
+        return None
     return HttpRequest(
         reader.parser.get_method().decode(),
         parts.path,
--- a/hornbeamdeal/wire/_peer.py
+++ b/hornbeamdeal/wire/_peer.py
@@ -7,7 +7,6 @@
 
 from result import Err, Ok, Result
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
-from thrift.Thrift import TException
 from thrift.TSerialization import deserialize, serialize
 
 from ._errors import MalformedMessageError
@@ -95,7 +94,9 @@
             return Err(MalformedMessageError("bad_mac", "peer key differs"))
         try:
             envelope = deserialize(ttypes.Envelope(), body[1:], _protocol_factory)
-        except (TException, EOFError, ValueError, TypeError) as error:
+        except Exception as error:
+            # The library raises many types for malformed input, such as OverflowError
+            # and struct.error, which it does not document.
             return Err(MalformedMessageError("bad_thrift", repr(error)))
         message = _union_value(envelope.message)
         if message is None:
--- a/hornbeamdeal/wire/_proxy.py
+++ b/hornbeamdeal/wire/_proxy.py
@@ -4,6 +4,7 @@
 """
 
 import socket
+import struct
 from dataclasses import dataclass
 from functools import lru_cache
 from ipaddress import ip_address
@@ -23,11 +24,17 @@
 # and one to the fabric; a smaller cache misses on nearly every packet.
 HEADER_CACHE_ENTRIES = 16_384
 
+# Type of the field with a CRC32C checksum of the header.
+CHECKSUM_FIELD = 0x03
+_ADDRESS_BYTES_BY_FAMILY = {1: 12, 2: 36}
+_FIELD_HEAD = struct.Struct("!BH")
+
 _HEADER_ERRORS = (
     ProxyProtocolIncompleteError,
     ProxyProtocolSyntaxError,
     ValueError,
     KeyError,
+    struct.error,
 )
 
 _protocol = ProxyProtocolV2()
@@ -67,9 +74,12 @@
     """Decode the PROXY header of a datagram and split off the payload."""
     if len(data) < HEADER_BYTES or not _protocol.is_valid(data[:8]):
         return Err(MalformedMessageError("no_proxy_header", f"{len(data)} bytes"))
+    header_length = HEADER_BYTES + int.from_bytes(data[14:16], "big")
+    header = data[:header_length]
     try:
-        result = _protocol.unpack(data)
-        header_length = HEADER_BYTES + int.from_bytes(data[14:16], "big")
+        result = _protocol.unpack(header)
+        _check_fields(header)
+        service = _service_of(result)
     except _HEADER_ERRORS as error:
         return Err(MalformedMessageError("bad_proxy_header", str(error)))
     if not isinstance(result, ProxyResultIPv4 | ProxyResultIPv6):
@@ -82,7 +92,24 @@
         ProxiedDatagram(
             Endpoint(str(source_ip), source_port),
             Endpoint(str(destination_ip), destination_port),
-            result.tlv.authority or "",
+            service,
             data[header_length:],
         )
     )
+
+
+def _check_fields(header: bytes) -> None:
+    """Raise ValueError if the fields after the addresses don't fill the header."""
+    at = HEADER_BYTES + _ADDRESS_BYTES_BY_FAMILY.get(header[13] >> 4, 0)
+    while at < len(header):
+        field, length = _FIELD_HEAD.unpack_from(header, at)
+        at += _FIELD_HEAD.size + length
+        if field == CHECKSUM_FIELD:
+            raise ValueError("a checksum is not supported; send the header without")
+    if at != len(header):
+        raise ValueError(f"the header has {len(header)} bytes, its fields end at {at}")
+
+
+def _service_of(result: object) -> str:
+    tlv = getattr(result, "tlv", None)
+    return (tlv.authority if tlv else None) or ""
--- a/tests/dsr/catalog.feature
+++ b/tests/dsr/catalog.feature
@@ -27,3 +27,8 @@
     Guards against memory use that grows with every server that ever left.
     Given a catalog to which 500 removals of unknown servers come within 1000 s
     Then it remembers at most 50 of them
+
+  Scenario: an answer that raises an unexpected error does not end the reader
+    Guards against one answer of the store that ends every node which reads it.
+    When a reader gets an answer that raises an unexpected error
+    Then it logs the error and reads again after a back-off
--- a/tests/platform/adapter.feature
+++ b/tests/platform/adapter.feature
@@ -92,3 +92,9 @@
     Given a stand-in store with 3 servers on pages of 50
     When a server's entry becomes unreadable
     Then the adapter's watch returns no drained and one removed server
+
+  Scenario: a start that takes long reads the store again
+    Guards against a host that starts slowly and serves by a first read that was old.
+    Given a start that forwards packets between imports and reads the store each 2.4 s
+    When imports go on for 5 s
+    Then the store is read again 2 times
--- a/tests/steps/dsr_catalog_steps.py
+++ b/tests/steps/dsr_catalog_steps.py
@@ -2,10 +2,11 @@
 
 import random
 
+import trio
 from behave import given, then, when
-from fakes.dsr_host import make_routes, make_server
+from fakes.dsr_host import Host, make_routes, make_server
 
-from hornbeamdeal.dsr import Catalog, Update
+from hornbeamdeal.dsr import Catalog, CatalogReader, ReadScheduler, Update
 
 SERVERS = 4
 
@@ -134,3 +135,36 @@
         shuffled = history + generator.sample(history, 5)
         generator.shuffle(shuffled)
         assert result_of(shuffled) == result_of(history), f"seed {seed}"
+
+
+class FailingSource:
+    """A store whose answers raise an error that no check foresaw."""
+
+    async def watch(self, after_revision, wait_seconds):
+        raise ZeroDivisionError("unforeseen")
+
+    load = watch
+
+
+@when("a reader gets an answer that raises an unexpected error")
+def when_unexpected_error(context):
+    context.host = Host()
+    context.host.apply_update([make_server(1)], make_routes())
+    context.reader = CatalogReader(
+        clock=context.host.clock,
+        catalog=context.host.catalog,
+        read_scheduler=ReadScheduler(freshness=3.0, random_state=1),
+        server_health=context.host.server_health,
+        journal=context.host.journal,
+        source=FailingSource(),
+    )
+    trio.run(context.reader._read)
+
+
+@then("it logs the error and reads again after a back-off")
+def then_reads_again(context):
+    names = [name for name, _ in context.host.journal.events]
+    assert names == ["unexpected_error", "read_failed"], names
+    now = context.host.clock.monotonic()
+    scheduler = context.reader.read_scheduler
+    assert 0 < scheduler.next_read_delay(float("-inf"), now) < 10
--- a/tests/steps/platform_adapter_steps.py
+++ b/tests/steps/platform_adapter_steps.py
@@ -5,14 +5,15 @@
 
 import trio
 from behave import given, then, when
-from fakes.dsr_host import RecordingJournal
+from fakes.dsr_host import Host, QueuedPackets, RecordingJournal
 from fakes.platform_store import PlatformStore, config_entry, server_entry
 
 from hornbeamdeal.dsr import SourceError
-from hornbeamdeal.kernel import Endpoint
+from hornbeamdeal.kernel import Endpoint, ManualClock
 from hornbeamdeal.platform._entries import EntryError, decode_routes, decode_server
 from hornbeamdeal.platform._packets import EchoPacketCodec, encode_address
 from hornbeamdeal.platform._settings import SettingsError, decode_settings
+from hornbeamdeal.platform._startup import ForwardingImportHook
 from hornbeamdeal.platform._store import StoreSource
 from hornbeamdeal.wire import HttpClient
 
@@ -279,3 +280,35 @@
 def then_watch_fails(context, reason):
     error = watch_from(context, context.revision)
     assert isinstance(error, SourceError) and error.reason == reason, error
+
+
+@given(
+    "a start that forwards packets between imports and reads the store each"
+    " {seconds:g} s"
+)
+def given_start(context, seconds):
+    context.clock = ManualClock(100.0)
+    context.reloads = 0
+
+    def reload_catalog():
+        context.reloads += 1
+
+    context.import_hook = ForwardingImportHook(
+        QueuedPackets(),
+        Host(context.clock).forwarder,
+        context.clock,
+        reload_catalog=reload_catalog,
+        reload_interval=seconds,
+    )
+
+
+@when("imports go on for {seconds:d} s")
+def when_imports(context, seconds):
+    for _ in range(10 * seconds):
+        context.clock.advance(0.1)
+        assert context.import_hook.find_spec("module") is None
+
+
+@then("the store is read again {count:d} times")
+def then_reloads(context, count):
+    assert context.reloads == count, context.reloads
--- /dev/null
+++ b/tests/wire/malformed_input.feature
@@ -0,0 +1,59 @@
+Feature: malformed input
+
+  Guards against one malformed message that ends a process, and against values read
+  from beyond their own frame.
+
+  Scenario Outline: every input gives a value or the decoder's own error
+    Then mutated and random input of the <decoder> gives a value or its error
+
+    Examples:
+      | decoder              |
+      | PROXY header         |
+      | peer message         |
+      | caller's packet      |
+      | server's entry       |
+      | routes               |
+      | store answer         |
+      | CoAP message         |
+      | run token            |
+      | host list            |
+      | document             |
+      | settings             |
+
+  Scenario Outline: a PROXY header with <fault> is refused
+    Then the datagram "<hex>" is refused as "bad_proxy_header"
+
+    Examples:
+      | fault                         | hex                                                                |
+      | no room for its addresses     | 0d0a0d0a000d0a515549540a211200007f0000017f000001                   |
+      | a service that is no UTF-8    | 0d0a0d0a000d0a515549540a211200107f0000017f00000116331633020001ff   |
+      | a service beyond the header   | 0d0a0d0a000d0a515549540a211200107f0000017f0000011633163302004061626364 |
+      | a checksum that is not checked | 0d0a0d0a000d0a515549540a211200137f0000017f00000116331633030004deadbeef |
+
+  Scenario Outline: an entry with <fault> names no server
+    Guards against one entry of another writer that ends all nodes, or that fails
+    each new flow of its service.
+    Then an entry with <fault> is unusable
+
+    Examples:
+      | fault                          |
+      | deeply nested arrays           |
+      | a service that is no text      |
+      | more slots than any server has |
+
+  Scenario Outline: a configuration with <fault> is unusable
+    Then a configuration with <fault> is unusable
+
+    Examples:
+      | fault                       |
+      | deeply nested arrays        |
+      | a weight that is no number  |
+      | a negative weight           |
+      | no positive weight          |
+      | an idle timeout out of range |
+      | a version out of range      |
+
+  Scenario: a request target that is no URL does not end the pages
+    Guards against one malformed request that ends the process.
+    When the target "//[" is requested from a page server
+    Then the next request is answered
