Split a route only among services that take new flows

Cause: the forwarder drew a service by weight and then refused the flow if that service had no server, while explain judged the route as a whole; on an old catalog explain said refused although the packet is dropped. Change: both use one decision, the weights of the services that take new flows. Scenarios: three in forwarding.feature, which fail on the code before.

--- a/hornbeamdeal/dsr/_forwarder.py
+++ b/hornbeamdeal/dsr/_forwarder.py
@@ -130,8 +130,10 @@
         described = [self._describe_server(server, now) for server in servers]
         usable = sum(server["state"] == "takes new flows" for server in described)
         verdict = f"route {route.name}: {usable} of {len(described)} servers"
-        if not described:
-            verdict = f"refused: route {route.name} has no server"
+        if not self._weights_in_use(route):
+            is_fresh = self.catalog.age(now) < REFUSAL_MAXIMUM_CATALOG_AGE_SECONDS
+            outcome = "refused" if is_fresh else "dropped, old view"
+            verdict = f"{outcome}: route {route.name} has no server for new flows"
         return {"verdict": verdict, "servers": described}
 
     def _describe_server(self, server: Server, now: float) -> dict[str, Any]:
@@ -179,7 +181,8 @@
         if flow.tried_servers:
             self._record_unanswered_opening(flow, packet, now)
         flow.last_copy_number = packet.copy_number
-        service = self._pick_service(route)
+        weights = self._weights_in_use(route)
+        service = self._pick_service(weights) if weights else ""
         listed = self.catalog.accepting_servers(service)
         untried = [server for server in listed if server not in flow.tried_servers]
         usable = [s for s in untried if not self.server_health.is_out(s.server_id)]
@@ -243,8 +246,19 @@
             self._send_opening(packet, server, now)
             self.journal.count("flows_placed", "trial")
 
-    def _pick_service(self, route: Route) -> str:
-        weights = route.weights_by_service
+    def _weights_in_use(self, route: Route) -> dict[str, float]:
+        """Return the weights of the route's services that take new flows.
+
+        A service without such a server leaves its share to the others, since the
+        route allows each of them.
+        """
+        return {
+            service: weight
+            for service, weight in route.weights_by_service.items()
+            if weight and self.catalog.accepting_servers(service)
+        }
+
+    def _pick_service(self, weights: dict[str, float]) -> str:
         if len(weights) == 1:
             return next(iter(weights))
         names = list(weights)
--- a/tests/dsr/forwarding.feature
+++ b/tests/dsr/forwarding.feature
@@ -134,3 +134,23 @@
     Guards against memory use that grows with every server that ever existed.
     When 2000 flows are each placed on a new server within 400 s
     Then the host keeps placement counts of at most 130 servers
+
+  Scenario: a service without servers leaves its share of a route to the others
+    Guards against callers that are refused although the route has a service for them.
+    Given a dsr host whose route is split 90 to 10 and whose second service has no server
+    Then all of 100 new flows go to the first service
+    And explain says that 1 of 1 servers takes new flows
+
+  Scenario: a route whose services have only draining servers is refused
+    Guards against an explanation that differs from what callers get.
+    Given a dsr host that knows one draining server
+    When caller 100.64.0.1:1000 opens a flow
+    Then the caller gets a reset
+    And explain says that the opening packet is refused
+
+  Scenario: explain says that an old catalog causes no refusal
+    Given a dsr host that knows one draining server
+    When 3000 ms pass
+    And caller 100.64.0.1:1000 opens a flow
+    Then nothing is sent
+    And explain says that the opening packet is dropped
--- a/tests/steps/dsr_forwarding_steps.py
+++ b/tests/steps/dsr_forwarding_steps.py
@@ -9,6 +9,9 @@
     FLAG_SYN,
     HEADER_BYTES,
     SERVER_SEQUENCE,
+    SERVICE,
+    SERVICE_IP,
+    SERVICE_PORT,
     Host,
     QueuedPackets,
     handle_in,
@@ -20,6 +23,7 @@
 )
 
 from hornbeamdeal.dsr import forward_pending
+from hornbeamdeal.platform._packets import encode_address
 
 HANDLE_BYTES = slice(12, 16)
 
@@ -287,3 +291,44 @@
 @then("the host keeps placement counts of at most {count:d} servers")
 def then_few_counts(context, count):
     assert len(context.host.forwarder.placement.counts_) <= count
+
+
+@given(
+    "a dsr host whose route is split 90 to 10 and whose second service has no server"
+)
+def given_split_route(context):
+    routes = make_routes()
+    [route] = routes.routes_by_key.values()
+    route.weights_by_service = {SERVICE: 90.0, "canary": 10.0}
+    context.host = Host()
+    context.host.apply_update([make_server(1)], routes)
+
+
+@given("a dsr host that knows one draining server")
+def given_draining(context):
+    context.host = Host()
+    context.host.apply_update([make_server(1, draining=True)], make_routes())
+    context.sent = []
+
+
+@then("all of {count:d} new flows go to the first service")
+def then_first_service(context, count):
+    for port in range(count):
+        [(data, _)] = context.host.open_flow(f"100.64.0.9:{2000 + port}")
+        assert number_in(data) == 1
+
+
+def explain(host):
+    address_key = encode_address(SERVICE_IP, SERVICE_PORT)
+    return host.forwarder.explain(address_key, host.clock.monotonic())["verdict"]
+
+
+@then("explain says that {usable:d} of {count:d} servers takes new flows")
+def then_explained(context, usable, count):
+    verdict = explain(context.host)
+    assert verdict.endswith(f"{usable} of {count} servers"), verdict
+
+
+@then("explain says that the opening packet is {outcome}")
+def then_explained_outcome(context, outcome):
+    assert explain(context.host).startswith(outcome), explain(context.host)
