Read a consistent copy of the store when a host restarts

Cause: every start made a stale read, which may be seconds old, and took it for current: a restarted host could use a server that had left or a withdrawn route until its first update. Change: only the first start of the whole system (the bootstrap setting) reads a stale copy; a store that answers 429 or 503 is asked for a stale one. Five examples in adapter.feature; the code before made a stale read in each.

--- a/hornbeamdeal/kernel/_actions.py
+++ b/hornbeamdeal/kernel/_actions.py
@@ -1,9 +1,10 @@
 """Actions that components return and the driver carries out."""
 
-from dataclasses import dataclass, field
-from typing import Any
+from dataclasses import dataclass
 
-from ._values import Answer, BackendServer, Endpoint, FlowPacket, Request, Version
+from ._endpoint import Endpoint
+from ._entry_host import Version
+from ._values import Answer, BackendServer, FlowPacket, Request
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,15 +67,6 @@
     answer: Answer
 
 
-@dataclass(frozen=True, slots=True)
-class SendPeerMessage:
-    """Send a thrift message to a peer, over TCP where `over_tcp` is set."""
-
-    endpoint: Endpoint
-    message: Any
-    over_tcp: bool = False
-
-
 @dataclass(frozen=True, slots=True)
 class ReadPlatform:
     """Read a key from the platform's key-value store.
@@ -105,39 +97,6 @@
     content: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class RebuildView:
-    """Rebuild the view, since known entry hosts or their states changed."""
-
-
-@dataclass(frozen=True, slots=True)
-class BroadcastPause:
-    """Send `PauseDetected` to all components, since a peer suspected this host.
-
-    The monotonic clock may stop while the machine is suspended, so a pause can
-    occur without a gap between two ticks.
-    """
-
-
-@dataclass(frozen=True, slots=True)
-class IncrementCounter:
-    """Increment a counter; `name` is a metric defined in `observability`."""
-
-    name: str
-    reason: str = ""
-    service: str = ""
-    amount: float = 1
-
-
-@dataclass(frozen=True, slots=True)
-class LogEvent:
-    """Write a log line."""
-
-    event: str
-    fields: dict[str, Any] = field(default_factory=dict)
-    level: str = "info"
-
-
 @dataclass(frozen=True, slots=True)
 class DropPacket:
     """Drop a flow's datagram and count it under `reason`."""
--- a/hornbeamdeal/kernel/_events.py
+++ b/hornbeamdeal/kernel/_events.py
@@ -1,9 +1,9 @@
 """Events that a driver passes to components."""
 
 from dataclasses import dataclass
-from typing import Any
 
-from ._values import Endpoint, FlowPacket, Request, ServerAnswer, Version
+from ._endpoint import Endpoint
+from ._values import FlowPacket, Request, ServerAnswer
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,19 +43,6 @@
     answer: ServerAnswer
 
 
-@dataclass(frozen=True, slots=True)
-class PeerMessageReceived:
-    """An authenticated message was received from a peer.
-
-    `message` is a thrift struct.
-    """
-
-    host_id: str
-    incarnation: int
-    endpoint: Endpoint
-    message: Any
-
-
 @dataclass(frozen=True, slots=True)
 class PlatformReadCompleted:
     """A read or watch of a platform key completed.
@@ -70,18 +57,6 @@
     error: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class PauseDetected:
-    """The process was paused for `seconds`, so its state may be stale."""
-
-    seconds: float
-
-
-@dataclass(frozen=True, slots=True)
-class StopRequested:
-    """An operator requested a graceful shutdown."""
-
-
 @dataclass(frozen=True, slots=True)
 class HostListApplied:
     """A newer host list is in use.
@@ -93,10 +68,3 @@
 
     revision: int
     entry_endpoints: tuple[Endpoint, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class VersionInForce:
-    """A new document was put in force on this host."""
-
-    version: Version
--- a/hornbeamdeal/platform/_settings.py
+++ b/hornbeamdeal/platform/_settings.py
@@ -23,7 +23,8 @@
     `packet_listen` receives callers' packets, `readiness_listen` the routers'
     readiness checks. `peer_port` serves messages between nodes, `metrics_port` the
     operators' pages. `link_mbps` is the bandwidth of the machine's network link in
-    Mbit/s. The names are logged when the settings are reloaded.
+    Mbit/s. `is_first_start` is set at the first start of the whole system. The names
+    are logged when the settings are reloaded.
     """
 
     __slots__ = (
@@ -32,6 +33,7 @@
         "flow_lifetime_seconds",
         "host_id",
         "ip",
+        "is_first_start",
         "link_mbps",
         "metrics_port",
         "packet_listen",
@@ -79,6 +81,8 @@
         "ip": reader.field("ip", str),
         "zone": reader.field("zone", str),
         "link_mbps": reader.number("limits", "link_mbps"),
+        # `bootstrap` is set only when the whole system starts for the first time.
+        "is_first_start": reader.fields.get("bootstrap") is True,
         # `datagram_addr` receives callers' packets, `ready` the readiness checks.
         "packet_listen": reader.endpoint("listen", "datagram_addr"),
         "readiness_listen": reader.endpoint("listen", "ready"),
--- a/hornbeamdeal/platform/_startup.py
+++ b/hornbeamdeal/platform/_startup.py
@@ -30,12 +30,28 @@
     return RELOAD_SHARE * limit
 
 
+# Failures of a store that answers but does not serve a consistent read now.
+_OVERLOAD_REASONS = ("throttled", "unavailable")
+
+
+def load_first_catalog(load: Callable[[bool], str], is_first_start: bool) -> None:
+    """Read the catalog at the start; `load` returns why a read failed.
+
+    When the whole fleet starts for the first time, all hosts make stale reads, which
+    cost the store less. Later a stale copy could hold a server that has left or a
+    route that was withdrawn.
+    """
+    reason = load(is_first_start)
+    if reason in _OVERLOAD_REASONS and not is_first_start:
+        load(True)
+
+
 def load_catalog(
-    store: Endpoint, forwarder: Forwarder, journal: Journal, *, may_be_stale: bool
-) -> None:
-    """Read the catalog once; log a failure, after which the node's reader retries.
+    store: Endpoint, forwarder: Forwarder, journal: Journal, may_be_stale: bool
+) -> str:
+    """Read the catalog once; return why that failed, empty if it did not.
 
-    A stale copy counts as current, so that of the hosts that start together only one
+    The node's reader retries later. A stale copy counts as current, so that of the hosts that start together only one
     makes the first consistent read.
     """
     started = time.monotonic()
@@ -45,12 +61,13 @@
         update = run_blocking(source.load(may_be_stale=may_be_stale))
     except SourceError as error:
         journal.event("load_failed", reason=error.reason, detail=error)
-        return
+        return error.reason
     finally:
         client.close()
     now = time.monotonic()
     forwarder.catalog.apply(update, now)
     forwarder.catalog.confirm(now if may_be_stale else started)
+    return ""
 
 
 class ForwardingImportHook:
@@ -65,7 +82,7 @@
     clock : Clock
         Source of monotonic time.
     reload_catalog : callable
-        Reads the catalog again.
+        Reads a consistent copy of the catalog.
     reload_interval : float
         Seconds after which a start that still goes on does so.
     """
@@ -86,7 +103,7 @@
         forwarder: Forwarder,
         clock: Clock,
         *,
-        reload_catalog: Callable[[], None],
+        reload_catalog: Callable[[], object],
         reload_interval: float,
     ):
         self.packet_socket = packet_socket
--- a/hornbeamdeal/platform/main.py
+++ b/hornbeamdeal/platform/main.py
@@ -6,6 +6,7 @@
 import signal
 import socket
 import sys
+from functools import partial
 
 from hornbeamdeal.dsr import open_packet_socket
 
@@ -37,7 +38,12 @@
 
     from ._assembly import make_forwarder, make_node
     from ._settings import SETTINGS_VARIABLE, SettingsError, load_settings
-    from ._startup import ForwardingImportHook, load_catalog, reload_interval
+    from ._startup import (
+        ForwardingImportHook,
+        load_catalog,
+        load_first_catalog,
+        reload_interval,
+    )
 
     path = os.environ.get(SETTINGS_VARIABLE)
     try:
@@ -50,14 +56,13 @@
     journal = BufferedJournal(host_id=settings.host_id, clock=clock)
     journal.event("starting", zone=settings.zone, store=settings.store)
     forwarder = make_forwarder(settings, packet_socket, journal)
-    load_catalog(settings.store, forwarder, journal, may_be_stale=True)
+    load = partial(load_catalog, settings.store, forwarder, journal)
+    load_first_catalog(load, settings.is_first_start)
     import_hook = ForwardingImportHook(
         packet_socket,
         forwarder,
         clock,
-        reload_catalog=lambda: load_catalog(
-            settings.store, forwarder, journal, may_be_stale=False
-        ),
+        reload_catalog=partial(load, False),
         reload_interval=reload_interval(settings),
     )
     import_hook.install()
--- a/tests/platform/adapter.feature
+++ b/tests/platform/adapter.feature
@@ -98,3 +98,17 @@
     Given a start that forwards packets between imports and reads the store each 2.4 s
     When imports go on for 5 s
     Then the store is read again 2 times
+
+  Scenario Outline: a start reads a stale copy only where nothing can have left
+    Guards against a restarted host that uses a server which had left, or a route which
+    was withdrawn, because its first copy is seconds old.
+    When a host starts <when> and the store answers a consistent read with "<failure>"
+    Then its reads allow a stale copy: <reads>
+
+    Examples:
+      | when               | failure     | reads     |
+      | for the first time |             | yes       |
+      | again              |             | no        |
+      | again              | unavailable | no,yes    |
+      | again              | throttled   | no,yes    |
+      | again              | lost        | no        |
--- a/tests/steps/malformed_input_steps.py
+++ b/tests/steps/malformed_input_steps.py
@@ -52,6 +52,7 @@
 }
 SETTINGS = {
     "node_name": "front-1",
+    "bootstrap": True,
     "ip": "10.1.0.10",
     "zone": "z1",
     "listen": {"datagram_addr": "10.1.0.10:8172", "ready": "10.1.0.10:8167"},
--- a/tests/steps/platform_adapter_steps.py
+++ b/tests/steps/platform_adapter_steps.py
@@ -13,7 +13,7 @@
 from hornbeamdeal.platform._entries import EntryError, decode_routes, decode_server
 from hornbeamdeal.platform._packets import EchoPacketCodec, encode_address
 from hornbeamdeal.platform._settings import SettingsError, decode_settings
-from hornbeamdeal.platform._startup import ForwardingImportHook
+from hornbeamdeal.platform._startup import ForwardingImportHook, load_first_catalog
 from hornbeamdeal.platform._store import StoreSource
 from hornbeamdeal.wire import HttpClient
 
@@ -39,6 +39,7 @@
         "control": "10.1.0.10:8166",
     },
     "internal_ports": [7720, 7735],
+    "bootstrap": True,
     "limits": {"link_mbps": 1000.0},
     "seeds": ["10.1.0.10:8166", "10.2.0.40:8166"],
     "bounds": {
@@ -312,3 +313,24 @@
 @then("the store is read again {count:d} times")
 def then_reloads(context, count):
     assert context.reloads == count, context.reloads
+
+
+@when('a host starts {when} and the store answers a consistent read with "{failure}"')
+def when_host_starts(context, when, failure):
+    context.reads = []
+
+    def load(may_be_stale):
+        context.reads.append("yes" if may_be_stale else "no")
+        return "" if may_be_stale else failure
+
+    load_first_catalog(load, is_first_start=when == "for the first time")
+
+
+@when('a host starts {when} and the store answers a consistent read with ""')
+def when_host_starts_well(context, when):
+    when_host_starts(context, when, "")
+
+
+@then("its reads allow a stale copy: {reads}")
+def then_reads(context, reads):
+    assert ",".join(context.reads) == reads, context.reads
