Read the configuration and the servers of the store in one call

A full read took two calls, one for the configuration and one for each page of servers, at every start and every 10 s at the reader. Change: one listing of all keys, as the watch already asks for.

--- a/hornbeamdeal/platform/_store.py
+++ b/hornbeamdeal/platform/_store.py
@@ -59,17 +59,21 @@
         Raise SourceError if the read fails.
         A stale read costs the store less and may be seconds old.
         """
-        options = {"stale_ok": 1} if may_be_stale else {}
-        # `as_of` is the store revision that an answer shows.
-        config = await self._get("kv-key", {"key": CONFIG_KEY, **options})
-        items, revision = [config], config["as_of"]
-        query = {"prefix": SERVER_PREFIX, **options}
+        # Without a prefix, one call returns the configuration with the servers.
+        query: dict[str, Any] = {"prefix": ""}
+        if may_be_stale:
+            query["stale_ok"] = 1
+        items: list[Any] = []
+        revision = MAXIMUM_REVISION
         while True:
             page = await self._get("kv-range", query)
+            # `as_of` is the store revision that an answer shows.
             revision = min(revision, page["as_of"])
             page_items = self._list_in(page, "items")
             items += page_items
             if not page.get("more_pages") or not page_items:
+                if CONFIG_KEY not in map(self._key_of, items):
+                    raise self._make_error("missing", "no configuration in the store")
                 return self._make_update(items, None, revision)
             last_key = self._key_of(page_items[-1])
             if last_key <= query.get("after", ""):
--- a/tests/fakes/platform_store.py
+++ b/tests/fakes/platform_store.py
@@ -75,7 +75,9 @@
         return _json_response({**item, "as_of": self.revision})
 
     def _list(self, query):
-        keys = sorted(k for k in self.items_by_key if k.startswith(query["prefix"]))
+        keys = sorted(
+            k for k in self.items_by_key if k.startswith(query.get("prefix", ""))
+        )
         keys = [k for k in keys if k > query.get("after", "")]
         page = [self.items_by_key[k] for k in keys[: self.page_items]]
         more = len(keys) > self.page_items
--- a/tests/platform/adapter.feature
+++ b/tests/platform/adapter.feature
@@ -54,6 +54,14 @@
     Given a stand-in store with 120 servers on pages of 50
     When the adapter loads the store
     Then it has 120 servers and the configuration
+    And the store got 3 calls
+
+  Scenario: one call reads the configuration with the servers
+    Guards against calls that grow with the restarts of a fleet, since each is paid for.
+    Given a stand-in store with 40 servers on pages of 50
+    When the adapter loads the store
+    Then it has 40 servers and the configuration
+    And the store got 1 calls
 
   Scenario: an unusable entry is logged once and the others are loaded
     Given a stand-in store with 3 servers and an unreadable entry
--- a/tests/steps/platform_adapter_steps.py
+++ b/tests/steps/platform_adapter_steps.py
@@ -227,6 +227,14 @@
     assert context.update.routes.version == 4
 
 
+@then("the store got {count:d} calls")
+def then_calls(context, count):
+    calls = [
+        n for (name, _), n in context.journal.counts.items() if name == "store_calls"
+    ]
+    assert sum(calls) == count, calls
+
+
 @then("one unusable entry is logged")
 def then_logged(context):
     names = [name for name, _ in context.journal.events]
