Send gossip between zones as often as zones need, not hosts

In the fleet harness a common start of 195 hosts in 5 zones sends 32 MB between zones in 30 s, 23 of them gossip and 5 whole member tables: every host sends every record 12 times to peers of any zone. Change: an update crosses from a zone 40 times, however many hosts the zone has, and in zones of more than 8 hosts one table exchange of 4 crosses; small fleets choose as before. Probes stay uniform.

--- a/benchmarks/fleet_harness.py
+++ b/benchmarks/fleet_harness.py
@@ -72,6 +72,7 @@
         self.announced_pause_count = 0
         self.size = size
         self.zones = zones
+        self._zone_by_endpoint: dict[kernel.Endpoint, str] = {}
         self._queue: list = []
         self._sequence = itertools.count()
         self._starts = itertools.count(1)
@@ -98,6 +99,7 @@
         start = next(self._starts)
         incarnation = generate_incarnation(1.7e9 + start, start)
         zone = f"zone-{index % self.zones}"
+        self._zone_by_endpoint[endpoint] = zone
         record = kernel.EntryHost(host_id, incarnation, endpoint, zone)
         seeds = tuple(self._endpoint(i) for i in range(min(3, self.size)))
         host = Host(
@@ -221,6 +223,8 @@
         data = host.codec.encode(action.message)
         host.counters["sent_messages"] += 1
         host.counters["sent_bytes"] += len(data)
+        if self._zone_by_endpoint.get(action.endpoint) != host.record.zone:
+            host.counters["sent_bytes_between_zones"] += len(data)
         kind = "largest_bulk" if action.over_tcp else "largest_datagram"
         host.counters[kind] = max(host.counters[kind], len(data))
         link = self.link
--- a/hornbeamdeal/membership/_anti_entropy.py
+++ b/hornbeamdeal/membership/_anti_entropy.py
@@ -81,7 +81,7 @@
         jitter = self.table.random.uniform(0.8, 1.2)
         self._sync_interval = min(2 * self._sync_interval, SYNC_INTERVAL_SECONDS)
         self._sync_due = now + self._sync_interval * jitter
-        for peer in self.table.sample_peers(count):
+        for peer in self.table.sample_exchange_peers(count):
             self.messenger.request_table(peer.endpoint)
 
     def record_join_reply(self, now: float) -> None:
--- a/hornbeamdeal/membership/_membership.py
+++ b/hornbeamdeal/membership/_membership.py
@@ -245,7 +245,7 @@
         self._gossip_due = now + GOSSIP_INTERVAL_SECONDS
         self._prober.probe_next(self._anti_entropy.check_death_claims())
         if self._table.updates or self._table.accusations.queue:
-            self._messenger.gossip(self._table.sample_peers(GOSSIP_FANOUT))
+            self._messenger.gossip(self._table.sample_gossip_peers(GOSSIP_FANOUT))
 
     def _forget_dead_members(self, now: float) -> None:
         if now >= self._forget_due:
--- a/hornbeamdeal/membership/_table.py
+++ b/hornbeamdeal/membership/_table.py
@@ -1,6 +1,7 @@
 """Table of the region's members and the rules by which received claims change it."""
 
 import random
+from collections.abc import Callable
 from dataclasses import replace
 from typing import Any
 
@@ -15,7 +16,8 @@
 
 from ._accusations import AccusationQueue
 from ._records import claim_precedence, is_refutation, merge_records
-from ._updates import UpdateQueue
+from ._updates import UpdateQueue, transmission_limit
+from ._zone_preference import crossing_exchange_share, crossing_gossip_share
 
 REACHABLE_STATES = (HostState.ALIVE, HostState.SUSPECT, HostState.LEAVING)
 ACCUSED_STATES = (HostState.SUSPECT, HostState.DEAD)
@@ -56,6 +58,7 @@
         "updates",
         "version_changed",
         "_peer_ids",
+        "_split_peer_ids",
         "_version_notice_due",
     )
 
@@ -79,6 +82,7 @@
         self.superseded = False
         self.rejoin_grace_until = 0.0
         self._peer_ids: list[str] | None = None
+        self._split_peer_ids: tuple[list[str], list[str]] | None = None
         self._version_notice_due = 0.0
         self.updates.put(own.host_id, urgent=True)
 
@@ -104,6 +108,38 @@
         chosen = [host_id for host_id in drawn if host_id != excluded][:count]
         return [self.members_by_id[host_id] for host_id in chosen]
 
+    def sample_gossip_peers(self, count: int) -> list[EntryHost]:
+        """Return up to `count` random reachable peers for gossip."""
+        copies = transmission_limit(len(self.members_by_id))
+        return self._sample_by_zone(
+            count, lambda near, far: crossing_gossip_share(near, far, copies)
+        )
+
+    def sample_exchange_peers(self, count: int) -> list[EntryHost]:
+        """Return up to `count` random reachable peers for a table exchange."""
+        return self._sample_by_zone(count, crossing_exchange_share)
+
+    def _sample_by_zone(
+        self, count: int, crossing_share: Callable[[int, int], float]
+    ) -> list[EntryHost]:
+        near, far = self._peer_ids_by_zone()
+        share = crossing_share(len(near), len(far))
+        crossing = sum(self.random.random() < share for _ in range(count))
+        drawn = self.random.sample(near, min(count - crossing, len(near)))
+        drawn += self.random.sample(far, min(count - len(drawn), len(far)))
+        return [self.members_by_id[host_id] for host_id in drawn]
+
+    def _peer_ids_by_zone(self) -> tuple[list[str], list[str]]:
+        """Return the reachable members of this host's zone, and the others."""
+        if self._split_peer_ids is None:
+            near: list[str] = []
+            far: list[str] = []
+            for host_id in self.peer_ids():
+                is_near = self.members_by_id[host_id].zone == self.own.zone
+                (near if is_near else far).append(host_id)
+            self._split_peer_ids = near, far
+        return self._split_peer_ids
+
     def set_own(self, state: HostState, version: Version | None) -> None:
         """Set this host's state and version; a new state increments the sequence."""
         own = self.own
@@ -239,7 +275,7 @@
             self.version_changed = True
         else:
             self.changed = True
-            self._peer_ids = None
+            self._peer_ids = self._split_peer_ids = None
         if known is not None and is_refutation(known, member):
             self.updates.discard(member.host_id)
             self.accusations.enqueue(member.host_id)
--- a/hornbeamdeal/membership/_updates.py
+++ b/hornbeamdeal/membership/_updates.py
@@ -41,15 +41,16 @@
 
     def take(self, count: int, members: int) -> list[str]:
         """Return up to `count` urgent hosts, least often sent first; count a send."""
-        return self._urgent.take(count, _transmission_limit(members))
+        return self._urgent.take(count, transmission_limit(members))
 
     def take_routine(self, count: int, members: int) -> list[str]:
         """Return up to `count` routine hosts, least often sent first; count a send."""
-        limit = min(_transmission_limit(members), MAXIMUM_ROUTINE_TRANSMISSIONS)
+        limit = min(transmission_limit(members), MAXIMUM_ROUTINE_TRANSMISSIONS)
         return self._routine.take(count, limit)
 
 
-def _transmission_limit(members: int) -> int:
+def transmission_limit(members: int) -> int:
+    """Return how often a host sends one update."""
     return TRANSMISSIONS_PER_DIGIT * math.ceil(math.log10(members + 1))
 
 
--- a/tests/membership/membership.feature
+++ b/tests/membership/membership.feature
@@ -146,3 +146,19 @@
   Scenario: the model of a paused member holds
     Then the paused member model holds in all states
     And without the restart of suspicions it has a counterexample
+
+  Scenario: the bytes between zones at a common start do not grow with the hosts of a zone
+    Guards against traffic between zones, which costs money, when hundreds of hosts
+    start together.
+    Then 120 hosts in 4 zones that start send at most 2 times the bytes of 40 between zones, each host
+    And within 20 s of that start each member knows all others
+
+  Scenario Outline: the share of gossip between zones follows the size of the zone
+    Then in a zone of <hosts> hosts of <total> the gossip share is <share>
+
+    Examples:
+      | hosts | total | share |
+      | 2     | 7     | 0.83  |
+      | 39    | 195   | 0.09  |
+      | 110   | 2000  | 0.02  |
+      | 7     | 7     | 0     |
--- a/tests/steps/membership_steps.py
+++ b/tests/steps/membership_steps.py
@@ -25,7 +25,9 @@
     record_from_wire,
     record_to_wire,
 )
+from hornbeamdeal.membership._updates import transmission_limit
 from hornbeamdeal.membership._versions import holders_from_wire, holders_to_wire
+from hornbeamdeal.membership._zone_preference import crossing_gossip_share
 from hornbeamdeal.wire import peer_types
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -430,3 +432,44 @@
     result = check_safety(paused_member.WITHOUT_RESTART)
     trace = result["properties"]["reachable_member_stays"]["counterexample"]
     assert trace[-1]["label"] == "expire"
+
+
+START_SECONDS = 20.0
+
+
+def start_fleet(size, zones):
+    fleet = Fleet(size, zones=zones)
+    fleet.start_all()
+    fleet.run(START_SECONDS)
+    return fleet
+
+
+def crossing_bytes(fleet):
+    sent = sum(h.counters["sent_bytes_between_zones"] for h in fleet.live_hosts)
+    return sent / fleet.size
+
+
+@then(
+    "{many:d} hosts in {zones:d} zones that start send at most {times:d} times the"
+    " bytes of {few:d} between zones, each host"
+)
+def then_crossing_bytes(context, many, zones, times, few):
+    context.fleet = start_fleet(many, zones)
+    sent, reference = (
+        crossing_bytes(context.fleet),
+        crossing_bytes(start_fleet(few, zones)),
+    )
+    assert sent <= times * reference, (sent, reference)
+
+
+@then("within {seconds:d} s of that start each member knows all others")
+def then_all_joined(context, seconds):
+    assert seconds >= START_SECONDS
+    assert all_know(context.fleet, context.fleet.size)
+
+
+@then("in a zone of {hosts:d} hosts of {total:d} the gossip share is {share:g}")
+def then_gossip_share(context, hosts, total, share):
+    copies = transmission_limit(total)
+    computed = crossing_gossip_share(hosts - 1, total - hosts, copies)
+    assert round(computed, 2) == share, computed
