Leave reads to the event loop once it runs; keep routes without weight

(1) The import hook could read the store with a blocking client within the event loop and hold up callers while the store does not answer; it now stops when the loop starts.

--- a/hornbeamdeal/platform/_entries.py
+++ b/hornbeamdeal/platform/_entries.py
@@ -124,6 +124,6 @@
     weights = weights_by_service.values()
     if not all(math.isfinite(weight) and weight >= 0 for weight in weights):
         raise ValueError(f"weights {weights_by_service!r} are not all finite and >= 0")
-    if not 0 < sum(weights) < math.inf:
-        raise ValueError(f"weights {weights_by_service!r} have no positive sum")
+    if not math.isfinite(sum(weights)):
+        raise ValueError(f"weights {weights_by_service!r} have no finite sum")
     return weights_by_service
--- a/hornbeamdeal/platform/_service.py
+++ b/hornbeamdeal/platform/_service.py
@@ -63,6 +63,7 @@
     path: str, settings: NodeSettings, node: Node, import_hook: ForwardingImportHook
 ) -> None:
     """Run a node until SIGTERM, then stop it gracefully."""
+    import_hook.stop_reloading()
     settings_file = SettingsFile(path, settings, node)
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
         async with trio.open_nursery() as nursery:
--- a/hornbeamdeal/platform/_startup.py
+++ b/hornbeamdeal/platform/_startup.py
@@ -22,6 +22,8 @@
 # Share of the time limits for changes after which a start that still goes on reads the
 # catalog again. The first read may be seconds old, and no peer can be heard yet.
 RELOAD_SHARE = 0.4
+# Failures of a store that answers but does not serve a consistent read now.
+_OVERLOAD_REASONS = ("throttled", "unavailable")
 
 
 def reload_interval(settings: NodeSettings) -> float:
@@ -30,10 +32,6 @@
     return RELOAD_SHARE * limit
 
 
-# Failures of a store that answers but does not serve a consistent read now.
-_OVERLOAD_REASONS = ("throttled", "unavailable")
-
-
 def load_first_catalog(load: Callable[[bool], str], is_first_start: bool) -> None:
     """Read the catalog at the start; `load` returns why a read failed.
 
@@ -51,8 +49,8 @@
 ) -> str:
     """Read the catalog once; return why that failed, empty if it did not.
 
-    The node's reader retries later. A stale copy counts as current, so that of the hosts that start together only one
-    makes the first consistent read.
+    The node's reader retries later. A stale copy counts as current, so that of the
+    hosts that start together only one makes the first consistent read.
     """
     started = time.monotonic()
     client = BlockingHttpClient(endpoint=store)
@@ -84,7 +82,8 @@
     reload_catalog : callable
         Reads a consistent copy of the catalog.
     reload_interval : float
-        Seconds after which a start that still goes on does so.
+        Seconds after which a start that still goes on does so, until the event loop
+        runs, where a read must not block.
     """
 
     __slots__ = (
@@ -125,6 +124,10 @@
             self._next_reload_at = now + self.reload_interval
             self.reload_catalog()
 
+    def stop_reloading(self) -> None:
+        """Leave reads of the store to the node's reader from now on."""
+        self._next_reload_at = float("inf")
+
     def install(self) -> None:
         """Install the hook before all other finders."""
         sys.meta_path.insert(0, self)
--- a/tests/dsr/forwarding.feature
+++ b/tests/dsr/forwarding.feature
@@ -148,6 +148,12 @@
     Then the caller gets a reset
     And explain says that the opening packet is refused
 
+  Scenario: a route without a positive weight is refused
+    Guards against an exception for each opening packet of such a route.
+    Given a dsr host whose route has two services of weight 0
+    When caller 100.64.0.1:1000 opens a flow
+    Then the caller gets a reset
+
   Scenario: explain says that an old catalog causes no refusal
     Given a dsr host that knows one draining server
     When 3000 ms pass
--- a/tests/platform/adapter.feature
+++ b/tests/platform/adapter.feature
@@ -107,6 +107,13 @@
     When imports go on for 5 s
     Then the store is read again 2 times
 
+  Scenario: imports within the event loop read no store
+    Guards against an event loop that stands still while the store does not answer.
+    Given a start that forwards packets between imports and reads the store each 2.4 s
+    When the event loop runs
+    And imports go on for 5 s
+    Then the store is read again 0 times
+
   Scenario Outline: a start reads a stale copy only where nothing can have left
     Guards against a restarted host that uses a server which had left, or a route which
     was withdrawn, because its first copy is seconds old.
--- a/tests/steps/dsr_forwarding_steps.py
+++ b/tests/steps/dsr_forwarding_steps.py
@@ -304,6 +304,16 @@
     context.host.apply_update([make_server(1)], routes)
 
 
+@given("a dsr host whose route has two services of weight 0")
+def given_route_without_weight(context):
+    routes = make_routes()
+    [route] = routes.routes_by_key.values()
+    route.weights_by_service = {SERVICE: 0.0, "canary": 0.0}
+    context.host = Host()
+    context.host.apply_update([make_server(1)], routes)
+    context.sent = []
+
+
 @given("a dsr host that knows one draining server")
 def given_draining(context):
     context.host = Host()
--- a/tests/steps/platform_adapter_steps.py
+++ b/tests/steps/platform_adapter_steps.py
@@ -311,6 +311,11 @@
     )
 
 
+@when("the event loop runs")
+def when_loop_runs(context):
+    context.import_hook.stop_reloading()
+
+
 @when("imports go on for {seconds:d} s")
 def when_imports(context, seconds):
     for _ in range(10 * seconds):
