Log which history of the store an answer comes from

The logs could not tell whether the store's answer lacked the change or the node did not apply it: catalog_loaded gave the catalog's revision, not the answer's.

The node now decodes the header Store-Era, logs and counts its changes, and catalog_loaded has epoch, revision and version of the answer. No logic is changed, except that an answer whose epoch can't be read is garbled.

--- a/hornbeamdeal/dsr/_catalog_reader.py
+++ b/hornbeamdeal/dsr/_catalog_reader.py
@@ -127,7 +127,7 @@
             # together only one makes the first consistent read.
             now = self.clock.monotonic()
             self.catalog.confirm(now)
-            self._log_loaded(round(now - started, 3), may_be_stale=True)
+            self._log_loaded(update, round(now - started, 3), may_be_stale=True)
 
     async def _read(self) -> None:
         was_reading = self.read_scheduler.is_reading
@@ -161,7 +161,7 @@
         now = self.clock.monotonic()
         self.read_scheduler.record_reload(now)
         self._apply_answer(update, started)
-        self._log_loaded(round(now - started, 3), may_be_stale=False)
+        self._log_loaded(update, round(now - started, 3), may_be_stale=False)
 
     def _record_failure(self, error: SourceError, was_reading: bool) -> None:
         now = self.clock.monotonic()
@@ -219,11 +219,14 @@
         routes: RouteTable | None = self.catalog.routes
         return routes.version if routes else 0
 
-    def _log_loaded(self, seconds: float, may_be_stale: bool) -> None:
+    def _log_loaded(self, update: Update, seconds: float, may_be_stale: bool) -> None:
         self.journal.event(
             "catalog_loaded",
             seconds=seconds,
             stale=may_be_stale,
+            store_epoch=update.epoch,
+            store_revision=update.revision,
+            store_version=update.routes.version if update.routes else 0,
             revision=self.catalog.revision,
             version=self._version_number(),
             servers=len(self.catalog.servers_by_id),
--- a/hornbeamdeal/dsr/_records.py
+++ b/hornbeamdeal/dsr/_records.py
@@ -85,23 +85,28 @@
 class Update:
     """Changes of the catalog up to a revision of the store.
 
-    `base_revision` is the revision that the changes apply to, None for a full copy,
-    where a server that is not listed is removed. `removed` holds the revision of
-    each removal by server id. `routes` is None if the configuration is unchanged.
+    `epoch` identifies the store's history: it rises when the store is restored from
+    an older copy, and revisions of different epochs are not comparable. It is 0 if
+    the store doesn't report it. `base_revision` is the revision that the changes
+    apply to, None for a full copy, where a server that is not listed is removed.
+    `removed` holds the revision of each removal by server id. `routes` is None if the
+    configuration is unchanged.
     """
 
-    __slots__ = ("base_revision", "removed", "revision", "routes", "servers")
+    __slots__ = ("base_revision", "epoch", "removed", "revision", "routes", "servers")
 
     def __init__(
         self,
         *,
         base_revision: int | None,
         revision: int,
+        epoch: int = 0,
         servers: list[Server] = (),
         removed: dict[str, int] | None = None,
         routes: RouteTable | None = None,
     ):
         self.base_revision = base_revision
+        self.epoch = epoch
         self.revision = revision
         self.servers = servers
         self.removed = removed or {}
--- a/hornbeamdeal/platform/_store.py
+++ b/hornbeamdeal/platform/_store.py
@@ -23,6 +23,9 @@
 MAXIMUM_REVISION = 2**63 - 1
 # Extra time for the response to a watch after its wait time.
 WATCH_MARGIN_SECONDS = 0.5
+# `Store-Era` rises by one each time that the store is restored from an older copy.
+EPOCH_HEADER = "store-era"
+MAXIMUM_EPOCH = 2**63 - 1
 _REASON_BY_STATUS = {404: "missing", 410: "compacted", 429: "throttled"}
 _REASON_BY_STATUS[503] = "unavailable"
 
@@ -44,13 +47,19 @@
     journal : Journal
         Receiver of log lines, one per revision of an unusable entry, and of call
         counts.
+
+    Attributes
+    ----------
+    epoch_ : int or None
+        Epoch of the last response, None before the first.
     """
 
-    __slots__ = ("client", "journal", "_reported_revisions")
+    __slots__ = ("client", "epoch_", "journal", "_reported_revisions")
 
     def __init__(self, *, client: HttpGetter, journal: Journal):
         self.client = client
         self.journal = journal
+        self.epoch_: int | None = None
         self._reported_revisions: dict[str, int] = {}
 
     async def load(self, may_be_stale: bool) -> Update:
@@ -116,6 +125,7 @@
             response = await self.client.get(target, timeout)
         except HttpError as error:
             raise self._make_error("lost", str(error)) from error
+        self._record_epoch(response, target)
         if response.status != 200:
             reason = _REASON_BY_STATUS.get(response.status, "refused")
             raise self._make_error(reason, f"{target}: status {response.status}")
@@ -124,6 +134,16 @@
         except (ValueError, KeyError, TypeError, RecursionError) as error:
             raise self._make_error("garbled", f"{target}: {error!r}") from error
 
+    def _record_epoch(self, response: HttpResponse, target: str) -> None:
+        try:
+            epoch = _decode_epoch(response)
+        except ValueError as error:
+            raise self._make_error("garbled", f"{target}: {error}") from error
+        if epoch != self.epoch_:
+            self.journal.count("store_epoch_changes")
+            self.journal.event("store_epoch", epoch=epoch, previous=self.epoch_)
+            self.epoch_ = epoch
+
     def _make_error(self, reason: str, text: str) -> SourceError:
         self.journal.count("store_failures", reason)
         return SourceError(reason, text)
@@ -131,7 +151,12 @@
     def _make_update(
         self, items: list[dict[str, Any]], base_revision: int | None, revision: int
     ) -> Update:
-        update = Update(base_revision=base_revision, revision=revision, servers=[])
+        update = Update(
+            base_revision=base_revision,
+            epoch=self.epoch_ or 0,
+            revision=revision,
+            servers=[],
+        )
         servers_by_id: dict[str, Server] = {}
         try:
             for item in items:
@@ -184,6 +209,13 @@
             self.journal.event("entry_unusable", key=key, problem=problem)
 
 
+def _decode_epoch(response: HttpResponse) -> int:
+    text = response.headers.get(EPOCH_HEADER, "0")
+    if not text.isdecimal() or not text.isascii() or int(text) > MAXIMUM_EPOCH:
+        raise ValueError(f"{EPOCH_HEADER} {text!r} is not an integer of 63 bits")
+    return int(text)
+
+
 def _check_response(fields: Any) -> dict[str, Any]:
     if not isinstance(fields, dict):
         raise TypeError("the response is no object")
--- a/tests/fakes/platform_store.py
+++ b/tests/fakes/platform_store.py
@@ -16,6 +16,7 @@
 
     def __init__(self, page_items=PAGE_ITEMS):
         self.page_items = page_items
+        self.epoch = None
         self.revision = 10
         self.compacted_revision = 0
         self.items_by_key = {}
@@ -52,7 +53,13 @@
         await serve_http(listen, self.respond)
 
     async def respond(self, request):
-        """Respond to one request."""
+        """Respond to one request, with the epoch of the store's history if set."""
+        response = await self._respond(request)
+        if self.epoch is not None:
+            response.headers["Store-Era"] = str(self.epoch)
+        return response
+
+    async def _respond(self, request):
         self.paths.append(request.path)
         await trio.sleep(self.delay)
         if self.is_silent or request.sender_ip in self.silent_ips:
--- a/tests/platform/adapter.feature
+++ b/tests/platform/adapter.feature
@@ -96,6 +96,25 @@
     When the store drops its history
     Then the adapter's watch fails as compacted
 
+  Scenario: an answer carries the epoch of the store's history
+    Guards against failures that can't be told from others after a restored store.
+    Given a stand-in store with 2 servers on pages of 50
+    And answers of the store that carry epoch 3
+    When the adapter loads the store
+    Then the update has epoch 3
+    And the change to epoch 3 is logged
+
+  Scenario Outline: an answer whose epoch can't be read is garbled
+    Given a stand-in store with 2 servers on pages of 50
+    And answers of the store that carry epoch <epoch>
+    Then the adapter's load fails as garbled
+
+    Examples:
+      | epoch                |
+      | -1                   |
+      | three                |
+      | 99999999999999999999 |
+
   Scenario: a server whose entry becomes unreadable is removed
     Given a stand-in store with 3 servers on pages of 50
     When a server's entry becomes unreadable
--- a/tests/steps/platform_adapter_steps.py
+++ b/tests/steps/platform_adapter_steps.py
@@ -246,6 +246,22 @@
     context.store.status = status
 
 
+@given("answers of the store that carry epoch {epoch}")
+def given_epoch(context, epoch):
+    context.store.epoch = epoch
+
+
+@then("the update has epoch {epoch:d}")
+def then_epoch(context, epoch):
+    assert context.update.epoch == epoch
+
+
+@then("the change to epoch {epoch:d} is logged")
+def then_epoch_logged(context, epoch):
+    lines = [f for name, f in context.journal.events if name == "store_epoch"]
+    assert lines == [{"epoch": epoch, "previous": None}], lines
+
+
 @when("the store does not answer")
 def when_silent(context):
     context.store.is_silent = True
