Reproduce missed changes after the store is restored

Callers see a version or a drained server that is not in force in time once the store came back from an older copy. The simulated fleet's store can now be restored, and hosts can be cut off.

--- a/tests/fakes/dsr_fleet_simulation.py
+++ b/tests/fakes/dsr_fleet_simulation.py
@@ -51,6 +51,7 @@
     """In-memory store of routes and servers that can be made to fail."""
 
     def __init__(self):
+        self.epoch = 1
         self.revision = 1
         self.changes = []
         self.servers_by_id = {}
@@ -85,6 +86,21 @@
         self.cut.set()
         self.cut = trio.Event()
 
+    def restore(self, revision):
+        """Start a new history from a copy as of a revision and close all watches."""
+        self.epoch += 1
+        self.revision = revision
+        self.changes = [change for change in self.changes if change[0] <= revision]
+        self.servers_by_id = {}
+        self.routes = make_routes(1)
+        for _, server, routes, removed in self.changes:
+            if server is not None:
+                self.servers_by_id[server.server_id] = server
+            self.servers_by_id.pop(removed, None)
+            self.routes = routes or self.routes
+        self.cut.set()
+        self.cut = trio.Event()
+
     def calls_between(self, start, end):
         """Return the number of calls from `start` until before `end`."""
         return sum(start <= at < end for at, _ in self.calls)
@@ -102,6 +118,7 @@
         store = self.store
         return Update(
             base_revision=None,
+            epoch=store.epoch,
             revision=store.revision,
             servers=list(store.servers_by_id.values()),
             routes=store.routes,
@@ -110,8 +127,8 @@
     async def watch(self, after_revision, wait_seconds):
         await self._call("watch")
         store = self.store
-        if after_revision < store.oldest:
-            raise SourceError("compacted", "history is gone")
+        if not store.oldest <= after_revision <= store.revision:
+            raise SourceError("compacted", "no history from this revision")
         with trio.move_on_after(wait_seconds):
             while store.revision == after_revision or store.omits_events:
                 await self._wait()
@@ -137,7 +154,10 @@
         store = self.store
         # A store that omits events still answers with its present revision.
         update = Update(
-            base_revision=after_revision, revision=store.revision, servers=[]
+            base_revision=after_revision,
+            epoch=store.epoch,
+            revision=store.revision,
+            servers=[],
         )
         if store.omits_events:
             return update
@@ -263,6 +283,7 @@
         self.relays = relays
         self.random = random.Random(random_state)
         self.partitioned_zones = set()
+        self.cut_hosts = set()
         self.update_sizes = []
         self.updates_sent_by_id = Counter()
 
@@ -313,6 +334,8 @@
         target.receive(sender, message)
 
     def _is_partitioned(self, sender, target):
+        if not self.cut_hosts.isdisjoint((sender.host_id, target.host_id)):
+            return True
         zones = [h.peer_sync.membership.own.zone for h in (sender, target)]
         return zones[0] != zones[1] and not self.partitioned_zones.isdisjoint(zones)
 
