Back off when a store refuses each watch as compacted

A watch that the store has no history for was followed by a full read at once, and that by the next watch, without a pause. The full read now follows at once only if a watch was answered since the last one; else the failure backs off like any other. The scenario "a watch that the store refuses again after a full read backs off" fails on the scheduler before.

--- a/hornbeamdeal/dsr/_catalog_reader.py
+++ b/hornbeamdeal/dsr/_catalog_reader.py
@@ -152,6 +152,7 @@
     async def _watch(self) -> None:
         revision = self.catalog.revision
         update = await self.source.watch(revision, self.read_scheduler.watch_timeout)
+        self.read_scheduler.record_watch()
         # A watch without events confirms the catalog as of its answer.
         self._apply_answer(update, self.clock.monotonic())
 
--- a/hornbeamdeal/dsr/_read_scheduler.py
+++ b/hornbeamdeal/dsr/_read_scheduler.py
@@ -25,6 +25,8 @@
 FALLBACK_READ_SHARE = 0.77
 ELECTED_READ_STEP_SECONDS = 0.15
 FALLBACK_READ_JITTER_SECONDS = 0.2
+# Failures after which a full read is due at once, since the store itself is well.
+_UNKNOWN_POSITION_REASONS = ("compacted", "restored")
 # Exponential back-off after failed reads. Elected readers have the lower limit, so
 # that the return of the store is noticed soon.
 FIRST_RETRY_SECONDS = 0.3
@@ -65,6 +67,7 @@
         "random_state",
         "reload_due",
         "_failures",
+        "_is_reload_unused",
         "_has_yielded",
         "_earliest_read_at",
         "_random",
@@ -86,6 +89,8 @@
         self.reload_due = float("-inf")
         self._failures = 0
         self._has_yielded = False
+        # Whether no watch has been answered since the last full read.
+        self._is_reload_unused = False
         self._earliest_read_at = float("-inf")
         self._random = random.Random(random_state)
         self._fallback_jitter = self._random.uniform(0, FALLBACK_READ_JITTER_SECONDS)
@@ -128,15 +133,21 @@
     def record_reload(self, now: float) -> None:
         """Record a full read."""
         self.must_reload = False
+        self._is_reload_unused = True
         self.reload_due = now + RELOAD_INTERVAL_SECONDS
 
+    def record_watch(self) -> None:
+        """Record that a watch was answered."""
+        self._is_reload_unused = False
+
     def record_failure(self, now: float, reason: str) -> None:
         """Record a failed read and back off.
 
-        If the store has only compacted its history, a full read is due at once.
+        If the store only doesn't have the history after the revision, a full read is
+        due at once, but not again before a watch from there has been answered.
         """
         self.must_reload = True
-        if reason == "compacted":
+        if reason in _UNKNOWN_POSITION_REASONS and not self._is_reload_unused:
             self._earliest_read_at = now
             return
         self._failures += 1
--- a/tests/dsr/read_scheduler.feature
+++ b/tests/dsr/read_scheduler.feature
@@ -48,3 +48,19 @@
     Given the read scheduler of the host at position 0
     When 1 reads fail in a row
     Then the next read is a full one
+
+  Scenario: a watch that the store refuses again after a full read backs off
+    Guards against full reads without a pause.
+    Given the read scheduler of the host at position 0
+    When a watch fails as compacted
+    Then the next read is due in 0 s to 0 s
+    When a full read is answered
+    And a watch fails as compacted
+    Then the next read is due in 0.2 s to 0.3 s
+
+  Scenario: a full read follows each lost history at once while watches are answered
+    Given the read scheduler of the host at position 0
+    When a full read is answered
+    And a watch is answered
+    And a watch fails as restored
+    Then the next read is due in 0 s to 0 s
--- a/tests/steps/dsr_read_scheduler_steps.py
+++ b/tests/steps/dsr_read_scheduler_steps.py
@@ -45,6 +45,26 @@
         context.read_scheduler.record_failure(NOW, "lost")
 
 
+@when("a watch fails as {reason}")
+def when_watch_fails(context, reason):
+    context.read_scheduler.record_read_start()
+    context.read_scheduler.record_failure(NOW, reason)
+
+
+@when("a full read is answered")
+def when_full_read(context):
+    context.read_scheduler.record_read_start()
+    context.read_scheduler.record_reload(NOW)
+    context.read_scheduler.record_answer(changed=False, now=NOW)
+
+
+@when("a watch is answered")
+def when_watch_answered(context):
+    context.read_scheduler.record_read_start()
+    context.read_scheduler.record_watch()
+    context.read_scheduler.record_answer(changed=False, now=NOW)
+
+
 @then("the host stops reading")
 def then_stops(context):
     assert not context.read_scheduler.is_reading
