Compare positions in the store only within one of its histories

Cause: hosts kept the highest revision they had seen as their position, as the base of updates to peers, and as the order of servers' entries. A restored store gives out the same revisions again, so a watch from the old position skips every change below it, and an entry with a lower revision is ignored.

Change: a position is an epoch of the store and a revision. A watch answered in another epoch leads to a full read; entries of a new epoch replace those of the former; peers' updates name both, those of a former epoch are not applied, and changes from one epoch to the next need exactly their base. Configuration versions still only rise. What the copy lacks or has outdated is provisional: servers missing from it are used until they must have registered again, servers known to leave or to be dead are withheld until they register or would have lapsed. A host that starts asks two peers for what the store may have lost. A full read behind the known revision starts anew also without an epoch.

--- a/hornbeamdeal/dsr/_catalog.py
+++ b/hornbeamdeal/dsr/_catalog.py
@@ -1,10 +1,12 @@
 """One host's replica of the routes and servers, and its age."""
 
-from ._records import Route, RouteTable, Server, Update
+from ._provisional import (
+    ENTRY_LIFETIME_SECONDS,
+    REREGISTRATION_SECONDS,
+    ProvisionalServers,
+)
+from ._records import NO_REVISION, Route, RouteTable, Server, Update
 
-# Servers whose entries expired during an outage of the store register again
-# within two seconds of its return; the third second covers propagation to all hosts.
-REREGISTRATION_SECONDS = 3.0
 # Default maximum duration of a flow.
 FLOW_LIFETIME_SECONDS = 60.0
 # Removed servers are kept for the flow lifetime plus this margin.
@@ -30,17 +32,24 @@
 class Catalog:
     """Routes and servers in force on one host.
 
-    Neither the configuration version nor the revision of a server's entry ever
-    decreases. Where two listed servers share a handle, later packets can't
-    distinguish them, so only the first by identifier gets new flows.
+    The configuration version never decreases, nor does the revision of a server's
+    entry within one epoch of the store. Revisions of different epochs are never
+    compared: another epoch begins with a full copy, or with the changes to exactly
+    the position at which this catalog stands. Where two listed servers share a
+    handle, later packets can't distinguish them, so only the first by identifier
+    gets new flows.
 
     Parameters
     ----------
     flow_lifetime : float
         Maximum duration of a flow in seconds.
+    entry_lifetime : float
+        Seconds after which the store drops the entry of a silent server.
 
     Attributes
     ----------
+    epoch : int
+        Epoch of the store that `revision` belongs to.
     revision : int
         Store revision up to which all changes are applied; 0 before the first.
     confirmed_at : float
@@ -49,18 +58,28 @@
 
     __slots__ = (
         "confirmed_at",
+        "epoch",
         "flow_lifetime",
+        "provisional",
         "servers_by_handle",
         "removals_by_id",
         "revision",
         "routes",
         "servers_by_id",
         "_accepting_servers_by_service",
+        "_is_history_lost",
         "_removed_revisions_by_id",
     )
 
-    def __init__(self, *, flow_lifetime: float = FLOW_LIFETIME_SECONDS):
+    def __init__(
+        self,
+        *,
+        flow_lifetime: float = FLOW_LIFETIME_SECONDS,
+        entry_lifetime: float = ENTRY_LIFETIME_SECONDS,
+    ):
         self.flow_lifetime = flow_lifetime
+        self.provisional = ProvisionalServers(entry_lifetime=entry_lifetime)
+        self.epoch = 0
         self.revision = 0
         self.confirmed_at = float("-inf")
         self.routes: RouteTable | None = None
@@ -68,6 +87,7 @@
         self.removals_by_id: dict[str, Removal] = {}
         self.servers_by_handle: dict[int, Server] = {}
         self._accepting_servers_by_service: dict[str, list[Server]] = {}
+        self._is_history_lost = False
         # Revision and time of each removal, including servers never listed here.
         self._removed_revisions_by_id: dict[str, tuple[int, float]] = {}
 
@@ -113,15 +133,50 @@
         return {i for i, removal in removals_by_id if self.is_gone(removal.server, now)}
 
     def can_apply(self, update: Update) -> bool:
-        """Return whether the update's base revision is known here."""
-        return update.base_revision is None or update.base_revision <= self.revision
+        """Return whether the update's base is known here, or nothing in it is needed.
+
+        Changes from one epoch to the next need exactly their base: an entry that the
+        base has and a later revision of its epoch has not could be missing in them.
+        """
+        if update.base_revision is None or update.epoch < self.epoch:
+            return True
+        if update.base_epoch != self.epoch:
+            return self.is_at_or_after(update)
+        if update.epoch == self.epoch:
+            return update.base_revision <= self.revision
+        return update.base_revision == self.revision
+
+    def is_at_or_after(self, update: Update) -> bool:
+        """Return whether all changes up to the update's position are applied."""
+        position = (update.epoch, update.revision)
+        return (self.epoch, self.revision) >= position
+
+    def lose_history(self) -> None:
+        """Start anew with the next full copy, although its epoch is the same."""
+        self._is_history_lost = True
 
     def apply(self, update: Update, now: float) -> list[tuple[str, Server]]:
-        """Apply newer changes; return pairs of "listed" or "removed" and the server."""
-        changes = []
+        """Apply newer changes; return pairs of the kind of change and the server.
+
+        Kinds are "listed" and "removed"; in a copy of a restored store "unconfirmed"
+        and "withheld" servers as well.
+        """
+        if update.epoch < self.epoch:
+            # Only versions of the configuration are comparable between histories.
+            if update.routes is not None:
+                self._update_routes(update.routes)
+            return []
+        changes, superseded_ids = [], []
+        if update.epoch > self.epoch or self._is_history_lost:
+            superseded_ids = self._superseded_ids(update.servers)
+            changes += self._start_history(update)
         for server in update.servers:
             if self._add_server(server):
                 changes.append(("listed", server))
+        for server_id in superseded_ids:
+            self.provisional.withhold(server_id, now)
+            changes.append(("withheld", self.servers_by_id[server_id]))
+        changes += self._adopt_withheld(update, now)
         for server_id, revision in self._removals_of(update).items():
             removed = self._remove_server(server_id, revision, now)
             if removed is not None:
@@ -133,6 +188,25 @@
             self._rebuild_indexes(now)
         return changes
 
+    def expire(self, now: float) -> list[tuple[str, Server]]:
+        """Remove or release provisional servers whose time is over.
+
+        Return pairs of "removed" or "released" and the server.
+        """
+        if self.provisional.is_empty:
+            return []
+        changes = []
+        for server_id in self.provisional.lapsed_ids(self.confirmed_at):
+            removed_at = self.provisional.unconfirmed_since(server_id)
+            removed = self._remove_server(server_id, self.revision, removed_at)
+            changes.append(("removed", removed))
+        for server_id in self.provisional.releasable_ids(self.confirmed_at):
+            self.provisional.release(server_id)
+            changes.append(("released", self.servers_by_id[server_id]))
+        if changes:
+            self._rebuild_indexes(now)
+        return changes
+
     def confirm(self, at: float) -> None:
         """Record that the store held nothing newer at this monotonic time."""
         self.confirmed_at = max(self.confirmed_at, at)
@@ -141,17 +215,79 @@
         """Return a full copy of the catalog for another host."""
         return Update(
             base_revision=None,
+            epoch=self.epoch,
             revision=self.revision,
             servers=list(self.servers_by_id.values()),
             routes=self.routes,
+            withheld=self.provisional.withheld_remaining(self.confirmed_at),
         )
 
+    def _superseded_ids(self, entries: list[Server]) -> list[str]:
+        """Return the accepting servers of a copy that are known to leave or be dead.
+
+        Their later entries are among the changes that the restored store has lost.
+        """
+        return [
+            entry.server_id
+            for entry in entries
+            if not entry.is_draining and self._is_superseded(entry)
+        ]
+
+    def _is_superseded(self, entry: Server) -> bool:
+        known = self.servers_by_id.get(entry.server_id)
+        if known is not None:
+            is_leaving = known.is_draining or self.provisional.is_withheld(
+                known.server_id
+            )
+            is_older = entry.revision < known.revision
+            return is_leaving and (is_older or known.revision == NO_REVISION)
+        removal = self.removals_by_id.get(entry.server_id)
+        if removal is None or entry.revision >= removal.revision:
+            return False
+        return removal.server.is_draining or removal.is_known_dead
+
+    def _start_history(self, update: Update) -> list[tuple[str, Server]]:
+        """Discard all revisions; return known servers that the update doesn't list."""
+        entries_by_id = {server.server_id: server for server in update.servers}
+        is_full = update.base_revision is None
+        changes = []
+        for server_id, known in list(self.servers_by_id.items()):
+            entry = entries_by_id.get(server_id)
+            is_unchanged = not is_full if entry is None else entry.is_same(known)
+            if is_unchanged:
+                continue
+            unconfirmed = known.with_revision(NO_REVISION)
+            self.servers_by_id[server_id] = unconfirmed
+            if entry is None or entry.revision == NO_REVISION:
+                changes.append(("unconfirmed", unconfirmed))
+        self.epoch, self.revision = update.epoch, 0
+        self._is_history_lost = False
+        self._removed_revisions_by_id = {}
+        self.provisional.clear()
+        return changes
+
+    def _adopt_withheld(self, update: Update, now: float) -> list[tuple[str, Server]]:
+        """Withhold what the sender withholds, unless a newer entry is known here."""
+        changes = []
+        for entry in update.servers if update.withheld else ():
+            server_id = entry.server_id
+            remaining = update.withheld.get(server_id)
+            known = self.servers_by_id.get(server_id)
+            is_known = known is not None and known.revision == entry.revision
+            if remaining and is_known and not self.provisional.is_withheld(server_id):
+                self.provisional.withhold(server_id, now, remaining)
+                changes.append(("withheld", known))
+        return changes
+
     def _removals_of(self, update: Update) -> dict[str, int]:
         removed = dict(update.removed)
         if update.base_revision is None:
-            listed = {server.server_id for server in update.servers}
+            listed = {s.server_id for s in update.servers if s.revision != NO_REVISION}
             for server_id, known in self.servers_by_id.items():
-                if server_id not in listed and known.revision <= update.revision:
+                if (
+                    server_id not in listed
+                    and NO_REVISION < known.revision <= update.revision
+                ):
                     removed.setdefault(server_id, update.revision)
         return removed
 
@@ -159,11 +295,10 @@
         known = self.servers_by_id.get(server.server_id)
         if known is not None and known.revision >= server.revision:
             return False
-        removed_revision, _ = self._removed_revisions_by_id.get(
-            server.server_id, (0, 0)
-        )
-        if removed_revision >= server.revision:
+        removal = self._removed_revisions_by_id.get(server.server_id)
+        if removal is not None and removal[0] >= server.revision:
             return False
+        self.provisional.release(server.server_id)
         self.removals_by_id.pop(server.server_id, None)
         self.servers_by_id[server.server_id] = server
         return True
@@ -180,6 +315,7 @@
         if known is None:
             return None
         del self.servers_by_id[server_id]
+        self.provisional.release(server_id)
         self.removals_by_id[server_id] = Removal(known, revision, now)
         return known
 
@@ -197,6 +333,9 @@
             for server_id, (revision, at) in self._removed_revisions_by_id.items()
             if now - at <= retention
         }
+        self.provisional.set_unconfirmed(
+            {i for i, s in self.servers_by_id.items() if s.revision == NO_REVISION}, now
+        )
         gone = [removal.server for removal in self.removals_by_id.values()]
         listed = sorted(self.servers_by_id.values(), key=lambda s: s.server_id)
         self.servers_by_handle = {server.handle: server for server in gone}
@@ -205,7 +344,8 @@
         for server in listed:
             if listed_by_handle.setdefault(server.handle, server) is not server:
                 continue
-            if not server.is_draining:
+            is_withheld = self.provisional.is_withheld(server.server_id)
+            if not server.is_draining and not is_withheld:
                 self._accepting_servers_by_service.setdefault(
                     server.service, []
                 ).append(server)
--- a/hornbeamdeal/dsr/_catalog_reader.py
+++ b/hornbeamdeal/dsr/_catalog_reader.py
@@ -18,6 +18,8 @@
 CHECK_INTERVAL_SECONDS = 0.1
 # Delay between attempts to load the first catalog.
 LOAD_RETRY_SECONDS = 0.25
+# Kinds of changes after which a server's entry differs from the one before.
+_ENTRY_CHANGES = ("listed", "unconfirmed")
 
 
 class Broadcaster(Protocol):
@@ -99,8 +101,13 @@
                 draining=server.is_draining,
                 revision=server.revision,
                 at_revision=self.catalog.revision,
+                epoch=self.catalog.epoch,
             )
 
+    def expire(self) -> None:
+        """Remove or release provisional servers whose time is over."""
+        self.handle_server_changes(self.catalog.expire(self.clock.monotonic()))
+
     async def run(self) -> None:
         """Load the catalog, then read the store whenever a read is due."""
         await self._load_first()
@@ -150,20 +157,41 @@
             self.journal.event("reading_started", position=self.read_scheduler.position)
 
     async def _watch(self) -> None:
-        revision = self.catalog.revision
+        epoch, revision = self.catalog.epoch, self.catalog.revision
         update = await self.source.watch(revision, self.read_scheduler.watch_timeout)
+        if update.epoch != epoch:
+            # The revision means another position in the answer's history.
+            text = f"a watch from epoch {epoch} was answered in epoch {update.epoch}"
+            raise SourceError("restored", text)
         self.read_scheduler.record_watch()
         # A watch without events confirms the catalog as of its answer.
         self._apply_answer(update, self.clock.monotonic())
 
     async def _reload(self) -> None:
         started = self.clock.monotonic()
+        epoch, revision = self.catalog.epoch, self.catalog.revision
         update = await self.source.load(may_be_stale=False)
         now = self.clock.monotonic()
         self.read_scheduler.record_reload(now)
+        if update.epoch == epoch and update.revision < revision:
+            self._record_lost_history(update, revision)
         self._apply_answer(update, started)
         self._log_loaded(update, round(now - started, 3), may_be_stale=False)
 
+    def _record_lost_history(self, update: Update, revision: int) -> None:
+        """Discard the known revisions, since a consistent read is behind them.
+
+        Either the store was restored and doesn't report its epochs, or this host began
+        with a stale copy of a lost history.
+        """
+        self.catalog.lose_history()
+        self.journal.event(
+            "store_went_back",
+            epoch=update.epoch,
+            store_revision=update.revision,
+            revision=revision,
+        )
+
     def _record_failure(self, error: SourceError, was_reading: bool) -> None:
         now = self.clock.monotonic()
         self.read_scheduler.record_failure(now, error.reason)
@@ -176,7 +204,11 @@
         )
 
     def _apply_answer(self, update: Update, confirmed_at: float) -> None:
-        base, previous = self.catalog.revision, self.catalog.routes
+        if update.epoch < self.catalog.epoch:
+            text = f"an answer of epoch {update.epoch} came after the store's return"
+            raise SourceError("restored", text)
+        base = (self.catalog.epoch, self.catalog.revision)
+        previous = self.catalog.routes
         changes = self._apply(update)
         self.catalog.confirm(confirmed_at)
         new_changes = self._new_changes(base, previous, changes)
@@ -187,20 +219,30 @@
             self.peering.broadcast(new_changes, previous)
 
     def _new_changes(
-        self, base: int, previous: RouteTable | None, changes: list[tuple[str, Any]]
+        self,
+        base: tuple[int, int],
+        previous: RouteTable | None,
+        changes: list[tuple[str, Any]],
     ) -> Update:
-        """Return only the changes, since peers need no more even after a full read."""
-        routes = self.catalog.routes
+        """Return only the changes, since peers need no more even after a full read.
+
+        `base` is the epoch and revision of the catalog before them.
+        """
+        catalog, routes = self.catalog, self.catalog.routes
+        base_epoch, base_revision = base
         return Update(
-            base_revision=base,
-            revision=self.catalog.revision,
-            servers=[server for change, server in changes if change == "listed"],
+            base_epoch=base_epoch,
+            base_revision=base_revision,
+            epoch=catalog.epoch,
+            revision=catalog.revision,
+            servers=[server for change, server in changes if change in _ENTRY_CHANGES],
             removed={
-                server.server_id: self.catalog.removals_by_id[server.server_id].revision
+                server.server_id: catalog.removals_by_id[server.server_id].revision
                 for change, server in changes
                 if change == "removed"
             },
             routes=routes if routes is not previous else None,
+            withheld=catalog.provisional.withheld_remaining(catalog.confirmed_at),
         )
 
     def _apply(self, update: Update) -> list[tuple[str, Any]]:
--- a/hornbeamdeal/dsr/_driver.py
+++ b/hornbeamdeal/dsr/_driver.py
@@ -128,6 +128,7 @@
     def _tick(self) -> None:
         now = self.clock.monotonic()
         self.forwarder.arrivals.start_turn(now)
+        self.reader.expire()
         self.forwarder.tick(now)
         for server_id, change, reason in self.server_health.pop_changes():
             self.journal.event(change, server=server_id, **reason)
--- a/hornbeamdeal/dsr/_forwarder.py
+++ b/hornbeamdeal/dsr/_forwarder.py
@@ -140,6 +140,8 @@
         state = "takes new flows"
         if server.is_draining:
             state = "draining"
+        elif self.catalog.provisional.is_withheld(server.server_id):
+            state = "withheld"
         elif self.server_health.is_dead(server.server_id, now):
             state = "dead"
         elif self.server_health.is_out(server.server_id):
--- a/hornbeamdeal/dsr/_news_codec.py
+++ b/hornbeamdeal/dsr/_news_codec.py
@@ -33,23 +33,36 @@
         servers=[_encode_server(server) for server in update.servers],
         removed=update.removed,
         routes=update.routes and _encode_routes(update.routes, previous_routes),
+        epoch=update.epoch,
+        base_epoch=update.base_epoch,
+        withheld_ms={i: round(1000 * s) for i, s in update.withheld.items()},
     )
 
 
-def decode_news(message: Any, known_routes: RouteTable | None) -> Update | None:
-    """Return the update, or None if its routes are a diff to a version not known."""
+def decode_news(
+    message: Any, known_routes: RouteTable | None, known_epoch: int
+) -> Update | None:
+    """Return the update, or None if its routes are a diff to a version not known.
+
+    A message without an epoch, of an older build, counts as one of `known_epoch`.
+    """
     routes = None
     if message.routes is not None:
         routes = _decode_routes(message.routes, known_routes)
         if routes is None:
             return None
+    epoch = known_epoch if message.epoch is None else message.epoch
+    withheld_ms = message.withheld_ms or {}
     is_full = message.base_revision == FULL_COPY
     return Update(
         base_revision=None if is_full else message.base_revision,
+        base_epoch=message.base_epoch,
+        epoch=epoch,
         revision=message.revision,
         servers=[_decode_server(server) for server in message.servers or ()],
         removed=message.removed,
         routes=routes,
+        withheld={i: ms / 1000 for i, ms in withheld_ms.items()},
     )
 
 
--- a/hornbeamdeal/dsr/_peer_sync.py
+++ b/hornbeamdeal/dsr/_peer_sync.py
@@ -27,6 +27,8 @@
 # Minimum interval between requests for a missing part of the catalog; an answer
 # takes a few milliseconds.
 REQUEST_INTERVAL_SECONDS = 0.25
+# Number of peers that a host asks at its start, as one answer may be lost.
+START_QUERY_PEERS = 2
 # Maximum number of peers that receive a report on servers. In a larger fleet, a
 # random sample receives it and the other hosts learn from their own flows.
 REPORT_FANOUT = 100
@@ -53,7 +55,9 @@
         "make_membership",
         "membership",
         "on_server_changes",
+        "queries_at_start",
         "relays",
+        "_is_query_due",
         "_receivers_by_group_count",
         "_peers",
         "_random",
@@ -71,6 +75,7 @@
         make_membership: Callable[[int], Membership],
         on_server_changes: Callable[[list[tuple[str, Any]]], None],
         relays: UpdateRelays | None = None,
+        queries_at_start: bool = True,
         random_state: int | None = None,
     ):
         self.catalog = catalog
@@ -80,9 +85,11 @@
         self.make_membership = make_membership
         self.membership = make_membership(0)
         self.on_server_changes = on_server_changes
+        self.queries_at_start = queries_at_start
         self.relays = relays or UpdateRelays()
         self._peers: list[EntryHost] = []
         self._receivers_by_group_count: dict[int, list[EntryHost]] = {}
+        self._is_query_due = queries_at_start
         self._rejoins = 0
         self._random = random.Random(random_state)
         self._next_request_at = float("-inf")
@@ -100,6 +107,9 @@
             actions += self._request_catalog(
                 self._random.choice(self._peers).endpoint, now
             )
+        elif self._is_query_due and self._peers:
+            self._is_query_due = False
+            actions += self._query_peers()
         return actions + self._report_unanswered(now)
 
     def handle(self, event: Any, now: float) -> list[Any]:
@@ -110,7 +120,7 @@
                 relayed = self._relay_update(message)
                 return relayed + self._apply_update(message, event.endpoint, now)
             if isinstance(message, peer_types.CatalogRequest):
-                return self._send_full_catalog(event.endpoint, now)
+                return self._send_full_catalog(event.endpoint, message, now)
             if isinstance(message, peer_types.ServerSigns):
                 return self._apply_reports(message, event.host_id, now)
         return self.membership.handle(event, now)
@@ -175,17 +185,21 @@
     def _apply_update(self, message: Any, sender: Endpoint, now: float) -> list[Any]:
         age = message.age_ms / 1000
         position = message.position if message.position >= 0 else len(self._peers)
-        update = decode_news(message, self.catalog.routes)
+        update = decode_news(message, self.catalog.routes, self.catalog.epoch)
         if update is None or not self.catalog.can_apply(update):
             return self._request_catalog(sender, now)
         changes = self.catalog.apply(update, now)
-        if message.revision >= self.catalog.revision:
-            self.catalog.confirm(now - age)
-        self.read_scheduler.record_peer_update(position, age, now)
+        if update.epoch == self.catalog.epoch:
+            if update.revision >= self.catalog.revision:
+                self.catalog.confirm(now - age)
+            self.read_scheduler.record_peer_update(position, age, now)
+        else:
+            self.journal.count("catalog_news_outdated")
         if changes or update.routes is not None:
             self.journal.event(
                 "news_applied",
                 sender=str(sender),
+                epoch=update.epoch,
                 revision=update.revision,
                 age_ms=message.age_ms,
                 version=self.catalog.routes.version if self.catalog.routes else 0,
@@ -198,13 +212,32 @@
             return []
         self._next_request_at = now + REQUEST_INTERVAL_SECONDS
         self.journal.count("catalog_gaps")
-        return [
-            SendPeerMessage(sender, peer_types.CatalogRequest(self.catalog.revision))
-        ]
+        return [SendPeerMessage(sender, self._make_request(only_if_newer=False))]
+
+    def _query_peers(self) -> list[Any]:
+        """Ask peers of the own zone first for what a restored store may have lost."""
+        zone = self.membership.own.zone
+        peers = [host for host in self._peers if host.zone == zone] or self._peers
+        queried = self._random.sample(peers, min(len(peers), START_QUERY_PEERS))
+        request = self._make_request(only_if_newer=True)
+        return [SendPeerMessage(peer.endpoint, request) for peer in queried]
 
-    def _send_full_catalog(self, sender: Endpoint, now: float) -> list[Any]:
+    def _make_request(self, only_if_newer: bool) -> Any:
+        catalog = self.catalog
+        return peer_types.CatalogRequest(
+            after_revision=catalog.revision,
+            epoch=catalog.epoch,
+            version=catalog.routes.version if catalog.routes else 0,
+            only_if_newer=only_if_newer,
+        )
+
+    def _send_full_catalog(
+        self, sender: Endpoint, request: Any, now: float
+    ) -> list[Any]:
         if not self.catalog.is_complete:
             return []
+        if request.only_if_newer and not self._knows_more(request):
+            return []
         message = encode_news(
             self.catalog.as_update(),
             age=self.catalog.age(now),
@@ -213,6 +246,19 @@
         )
         return [SendPeerMessage(sender, message, over_tcp=True)]
 
+    def _knows_more(self, request: Any) -> bool:
+        """Return whether this catalog holds what the sender of a query may lack.
+
+        A later revision of the same epoch doesn't count: the next update of the
+        reader shows the sender what it lacks.
+        """
+        catalog = self.catalog
+        return (
+            catalog.epoch > (request.epoch or 0)
+            or catalog.routes.version > (request.version or 0)
+            or not catalog.provisional.is_empty
+        )
+
     def _report_unanswered(self, now: float) -> list[Any]:
         unsent = self.server_health.pop_unsent()
         signs_by_id: dict[str, list[Any]] = {
--- a/hornbeamdeal/dsr/_records.py
+++ b/hornbeamdeal/dsr/_records.py
@@ -1,8 +1,12 @@
 """Records of the catalog: servers, routes and updates to both."""
 
+import copy
+
 import xxhash
 
 NO_HANDLE = 0
+# Revision of a server that has no entry in the store's present history.
+NO_REVISION = 0
 
 
 def handle_of(server_id: str) -> int:
@@ -52,6 +56,16 @@
         self.revision = revision
         self.handle = handle_of(server_id)
 
+    def with_revision(self, revision: int) -> "Server":
+        """Return a copy with another revision."""
+        copied = copy.copy(self)
+        copied.revision = revision
+        return copied
+
+    def is_same(self, other: "Server") -> bool:
+        """Return whether both are equal in all fields."""
+        return all(getattr(self, n) == getattr(other, n) for n in self.__slots__)
+
 
 class Route:
     """Weighted services for new flows to one service address."""
@@ -87,13 +101,23 @@
 
     `epoch` identifies the store's history: it rises when the store is restored from
     an older copy, and revisions of different epochs are not comparable. It is 0 if
-    the store doesn't report it. `base_revision` is the revision that the changes
-    apply to, None for a full copy, where a server that is not listed is removed.
-    `removed` holds the revision of each removal by server id. `routes` is None if the
-    configuration is unchanged.
+    the store doesn't report it. `base_revision` of `base_epoch`, by default the same
+    epoch, is the revision that the changes apply to, None for a full copy, where a
+    server that is not listed is removed. `removed` holds the revision of each removal
+    by server id. `withheld` holds for how many more seconds listed servers get no new
+    flows. `routes` is None if the configuration is unchanged.
     """
 
-    __slots__ = ("base_revision", "epoch", "removed", "revision", "routes", "servers")
+    __slots__ = (
+        "base_epoch",
+        "base_revision",
+        "epoch",
+        "removed",
+        "revision",
+        "routes",
+        "servers",
+        "withheld",
+    )
 
     def __init__(
         self,
@@ -101,16 +125,20 @@
         base_revision: int | None,
         revision: int,
         epoch: int = 0,
+        base_epoch: int | None = None,
         servers: list[Server] = (),
         removed: dict[str, int] | None = None,
         routes: RouteTable | None = None,
+        withheld: dict[str, float] | None = None,
     ):
+        self.base_epoch = epoch if base_epoch is None else base_epoch
         self.base_revision = base_revision
         self.epoch = epoch
         self.revision = revision
         self.servers = servers
         self.removed = removed or {}
         self.routes = routes
+        self.withheld = withheld or {}
 
     @property
     def is_empty(self) -> bool:
--- a/hornbeamdeal/dsr/_source.py
+++ b/hornbeamdeal/dsr/_source.py
@@ -11,7 +11,8 @@
     """Raised when a read of the store fails or its answer is unusable.
 
     `reason` is one of `compacted` (the history after the revision is gone, so that a
-    full read is needed), `throttled`, `unavailable`, `missing`, `refused`, `lost`,
+    full read is needed), `restored` (the answer is of another epoch than expected, so
+    that a full read is needed as well), `throttled`, `unavailable`, `missing`, `refused`, `lost`,
     `garbled` and `unexpected`.
     """
 
@@ -31,5 +32,6 @@
     async def watch(self, after_revision: int, wait_seconds: float) -> Update:
         """Return changes after a revision, waiting for some up to `wait_seconds`.
 
+        The update's epoch is that of the answer; the revision may be of another one.
         Raise SourceError if the read fails.
         """
--- a/hornbeamdeal/platform/_assembly.py
+++ b/hornbeamdeal/platform/_assembly.py
@@ -52,7 +52,10 @@
         random_state=random_state,
     )
     return Forwarder(
-        catalog=Catalog(flow_lifetime=settings.flow_lifetime_seconds),
+        catalog=Catalog(
+            flow_lifetime=settings.flow_lifetime_seconds,
+            entry_lifetime=settings.entry_lifetime_seconds,
+        ),
         codec=EchoPacketCodec(caller_port=settings.packet_listen.port),
         server_health=ServerHealth(),
         flows=FlowTable(),
@@ -131,6 +134,7 @@
         journal=node.journal,
         make_membership=make_membership,
         on_server_changes=node.reader.handle_server_changes,
+        queries_at_start=not settings.is_first_start,
     )
     codec = PeerCodec(
         host_id=settings.host_id,
--- a/hornbeamdeal/platform/_pages.py
+++ b/hornbeamdeal/platform/_pages.py
@@ -59,6 +59,7 @@
             "zone": self.zone,
             "ready": node.is_ready_,
             "version": catalog.routes.version if catalog.routes else 0,
+            "epoch": catalog.epoch,
             "revision": catalog.revision,
             "age_ms": round(1000 * min(catalog.age(now), 86_400)),
             "reads_the_store": node.read_scheduler.is_reading,
@@ -70,7 +71,7 @@
 
     def _gauges(self) -> dict[str, float]:
         status = self.status()
-        names = ("version", "revision", "age_ms", "servers", "flows")
+        names = ("version", "epoch", "revision", "age_ms", "servers", "flows")
         gauges = {name: float(status[name]) for name in names}
         gauges["servers_out"] = float(len(status["servers_out"]))
         gauges["reads_the_store"] = float(status["reads_the_store"])
--- a/hornbeamdeal/platform/_settings.py
+++ b/hornbeamdeal/platform/_settings.py
@@ -7,6 +7,10 @@
 
 SETTINGS_VARIABLE = "HORNBEAMDEAL_NODE_FILE"
 
+# The store drops an entry after this many heartbeat intervals of silence.
+LAPSE_HEARTBEATS = 3
+# Interval of a platform whose settings don't tell it.
+DEFAULT_HEARTBEAT_MILLISECONDS = 1200
 # Larger numbers and those that are no number are errors of the file.
 MAXIMUM_NUMBER = 10**12
 
@@ -24,12 +28,14 @@
     readiness checks. `peer_port` serves messages between nodes, `metrics_port` the
     operators' pages. `link_mbps` is the bandwidth of the machine's network link in
     Mbit/s. `is_first_start` is set at the first start of the whole system. The names
-    are logged when the settings are reloaded.
+    are logged when the settings are reloaded. `entry_lifetime_seconds` is the time
+    after which the store drops the entry of a silent server.
     """
 
     __slots__ = (
         "config_apply_seconds",
         "drain_seconds",
+        "entry_lifetime_seconds",
         "flow_lifetime_seconds",
         "host_id",
         "ip",
@@ -95,6 +101,8 @@
         "seed_ips": reader.seed_ips("seeds"),
         "config_apply_seconds": reader.number("bounds", "config_apply_ms") / 1000,
         "drain_seconds": reader.number("bounds", "drain_ms") / 1000,
+        # Servers write their entries every `heartbeat_ms`.
+        "entry_lifetime_seconds": LAPSE_HEARTBEATS * reader.heartbeat_seconds(),
         # `grace_s` is the time limit of a graceful stop.
         "stop_seconds": reader.number("bounds", "grace_s"),
         "flow_lifetime_seconds": reader.number("bounds", "flow_lifetime_s"),
@@ -134,12 +142,17 @@
         """Return a number of a table; record a problem if it is missing or invalid."""
         fields = self.fields.get(parent)
         value = fields.get(name) if isinstance(fields, dict) else None
-        is_number = isinstance(value, int | float) and not isinstance(value, bool)
-        if is_number and abs(value) <= MAXIMUM_NUMBER:
+        if _is_number(value):
             return float(value)
         self.problems.append(f"{parent}.{name} must be a number")
         return 0.0
 
+    def heartbeat_seconds(self) -> float:
+        """Return the interval in which servers write their entries."""
+        value = self.fields.get("heartbeat_ms")
+        is_usable = _is_number(value) and value > 0
+        return (value if is_usable else DEFAULT_HEARTBEAT_MILLISECONDS) / 1000
+
     def endpoint(self, parent: str, name: str) -> Endpoint | None:
         """Return an `ip:port` of a table; record a problem if missing or invalid."""
         fields = self.fields.get(parent)
@@ -160,6 +173,11 @@
         return tuple(endpoint.ip for endpoint in endpoints if endpoint is not None)
 
 
+def _is_number(value: Any) -> bool:
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    return is_number and abs(value) <= MAXIMUM_NUMBER
+
+
 def _parse_endpoint(text: Any) -> Endpoint | None:
     ip, separator, port = text.rpartition(":") if isinstance(text, str) else ("",) * 3
     return Endpoint(ip, int(port)) if separator and ip and port.isdecimal() else None
--- a/hornbeamdeal/platform/_store.py
+++ b/hornbeamdeal/platform/_store.py
@@ -19,13 +19,12 @@
 # The store responds within milliseconds. A host that gives up after this time can
 # retry before the time limit for applying changes ends.
 RESPONSE_TIMEOUT_SECONDS = 0.7
-# Messages between hosts carry revisions in 64 bits.
+# Messages between hosts carry revisions and epochs in 64 bits.
 MAXIMUM_REVISION = 2**63 - 1
 # Extra time for the response to a watch after its wait time.
 WATCH_MARGIN_SECONDS = 0.5
 # `Store-Era` rises by one each time that the store is restored from an older copy.
 EPOCH_HEADER = "store-era"
-MAXIMUM_EPOCH = 2**63 - 1
 _REASON_BY_STATUS = {404: "missing", 410: "compacted", 429: "throttled"}
 _REASON_BY_STATUS[503] = "unavailable"
 
@@ -60,7 +59,8 @@
         self.client = client
         self.journal = journal
         self.epoch_: int | None = None
-        self._reported_revisions: dict[str, int] = {}
+        # Epoch and revision of each key's last unusable entry.
+        self._reported_revisions: dict[str, tuple[int | None, int]] = {}
 
     async def load(self, may_be_stale: bool) -> Update:
         """Return all routes and servers as an update.
@@ -74,8 +74,12 @@
             query["stale_ok"] = 1
         items: list[Any] = []
         revision = MAXIMUM_REVISION
+        epoch: int | None = None
         while True:
             page = await self._get("kv-range", query)
+            epoch = self.epoch_ if epoch is None else epoch
+            if epoch != self.epoch_:
+                raise self._make_error("restored", "pages of two histories")
             # `as_of` is the store revision that an answer shows.
             revision = min(revision, page["as_of"])
             page_items = self._list_in(page, "items")
@@ -203,15 +207,15 @@
             return None
 
     def _report_unusable(self, key: str, revision: int, problem: str) -> None:
-        if self._reported_revisions.get(key) != revision:
-            self._reported_revisions[key] = revision
+        if self._reported_revisions.get(key) != (self.epoch_, revision):
+            self._reported_revisions[key] = (self.epoch_, revision)
             self.journal.count("entries_unusable")
             self.journal.event("entry_unusable", key=key, problem=problem)
 
 
 def _decode_epoch(response: HttpResponse) -> int:
     text = response.headers.get(EPOCH_HEADER, "0")
-    if not text.isdecimal() or not text.isascii() or int(text) > MAXIMUM_EPOCH:
+    if not text.isdecimal() or not text.isascii() or int(text) > MAXIMUM_REVISION:
         raise ValueError(f"{EPOCH_HEADER} {text!r} is not an integer of 63 bits")
     return int(text)
 
--- a/hornbeamdeal/wire/_generated/peer/ttypes.py
+++ b/hornbeamdeal/wire/_generated/peer/ttypes.py
@@ -2391,6 +2391,9 @@
      - removed
      - routes
      - relay_groups
+     - epoch
+     - base_epoch
+     - withheld_ms
 
     """
 
@@ -2403,10 +2406,13 @@
         'removed',
         'routes',
         'relay_groups',
+        'epoch',
+        'base_epoch',
+        'withheld_ms',
     )
 
 
-    def __init__(self, base_revision=None, revision=None, age_ms=None, position=None, servers=None, removed=None, routes=None, relay_groups=None,):
+    def __init__(self, base_revision=None, revision=None, age_ms=None, position=None, servers=None, removed=None, routes=None, relay_groups=None, epoch=None, base_epoch=None, withheld_ms=None,):
         self.base_revision = base_revision
         self.revision = revision
         self.age_ms = age_ms
@@ -2415,6 +2421,9 @@
         self.removed = removed
         self.routes = routes
         self.relay_groups = relay_groups
+        self.epoch = epoch
+        self.base_epoch = base_epoch
+        self.withheld_ms = withheld_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2478,6 +2487,27 @@
                     self.relay_groups = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.base_epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.MAP:
+                    self.withheld_ms = {}
+                    (_ktype121, _vtype122, _size120) = iprot.readMapBegin()
+                    for _i124 in range(_size120):
+                        _key125 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val126 = iprot.readI64()
+                        self.withheld_ms[_key125] = _val126
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2507,16 +2537,16 @@
         if self.servers is not None:
             oprot.writeFieldBegin('servers', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.servers))
-            for iter120 in self.servers:
-                iter120.write(oprot)
+            for iter127 in self.servers:
+                iter127.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.removed is not None:
             oprot.writeFieldBegin('removed', TType.MAP, 6)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.removed))
-            for kiter121, viter122 in self.removed.items():
-                oprot.writeString(kiter121.encode('utf-8') if sys.version_info[0] == 2 else kiter121)
-                oprot.writeI64(viter122)
+            for kiter128, viter129 in self.removed.items():
+                oprot.writeString(kiter128.encode('utf-8') if sys.version_info[0] == 2 else kiter128)
+                oprot.writeI64(viter129)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.routes is not None:
@@ -2527,6 +2557,22 @@
             oprot.writeFieldBegin('relay_groups', TType.I32, 8)
             oprot.writeI32(self.relay_groups)
             oprot.writeFieldEnd()
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I64, 9)
+            oprot.writeI64(self.epoch)
+            oprot.writeFieldEnd()
+        if self.base_epoch is not None:
+            oprot.writeFieldBegin('base_epoch', TType.I64, 10)
+            oprot.writeI64(self.base_epoch)
+            oprot.writeFieldEnd()
+        if self.withheld_ms is not None:
+            oprot.writeFieldBegin('withheld_ms', TType.MAP, 11)
+            oprot.writeMapBegin(TType.STRING, TType.I64, len(self.withheld_ms))
+            for kiter130, viter131 in self.withheld_ms.items():
+                oprot.writeString(kiter130.encode('utf-8') if sys.version_info[0] == 2 else kiter130)
+                oprot.writeI64(viter131)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2556,16 +2602,25 @@
     """
     Attributes:
      - after_revision
+     - epoch
+     - version
+     - only_if_newer
 
     """
 
     __slots__ = (
         'after_revision',
+        'epoch',
+        'version',
+        'only_if_newer',
     )
 
 
-    def __init__(self, after_revision=None,):
+    def __init__(self, after_revision=None, epoch=None, version=None, only_if_newer=None,):
         self.after_revision = after_revision
+        self.epoch = epoch
+        self.version = version
+        self.only_if_newer = only_if_newer
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2581,6 +2636,21 @@
                     self.after_revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.only_if_newer = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2595,6 +2665,18 @@
             oprot.writeFieldBegin('after_revision', TType.I64, 1)
             oprot.writeI64(self.after_revision)
             oprot.writeFieldEnd()
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I64, 2)
+            oprot.writeI64(self.epoch)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 3)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.only_if_newer is not None:
+            oprot.writeFieldBegin('only_if_newer', TType.BOOL, 4)
+            oprot.writeBool(self.only_if_newer)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2750,11 +2832,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.signs = []
-                    (_etype126, _size123) = iprot.readListBegin()
-                    for _i127 in range(_size123):
-                        _elem128 = Sign()
-                        _elem128.read(iprot)
-                        self.signs.append(_elem128)
+                    (_etype135, _size132) = iprot.readListBegin()
+                    for _i136 in range(_size132):
+                        _elem137 = Sign()
+                        _elem137.read(iprot)
+                        self.signs.append(_elem137)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2780,8 +2862,8 @@
         if self.signs is not None:
             oprot.writeFieldBegin('signs', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.signs))
-            for iter129 in self.signs:
-                iter129.write(oprot)
+            for iter138 in self.signs:
+                iter138.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.progress_age_ms is not None:
@@ -2840,11 +2922,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.signs = []
-                    (_etype133, _size130) = iprot.readListBegin()
-                    for _i134 in range(_size130):
-                        _elem135 = ServerSign()
-                        _elem135.read(iprot)
-                        self.signs.append(_elem135)
+                    (_etype142, _size139) = iprot.readListBegin()
+                    for _i143 in range(_size139):
+                        _elem144 = ServerSign()
+                        _elem144.read(iprot)
+                        self.signs.append(_elem144)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2861,8 +2943,8 @@
         if self.signs is not None:
             oprot.writeFieldBegin('signs', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.signs))
-            for iter136 in self.signs:
-                iter136.write(oprot)
+            for iter145 in self.signs:
+                iter145.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3452,11 +3534,17 @@
     (6, TType.MAP, 'removed', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 6
     (7, TType.STRUCT, 'routes', [DirectRoutes, None], None, ),  # 7
     (8, TType.I32, 'relay_groups', None, None, ),  # 8
+    (9, TType.I64, 'epoch', None, None, ),  # 9
+    (10, TType.I64, 'base_epoch', None, None, ),  # 10
+    (11, TType.MAP, 'withheld_ms', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 11
 )
 all_structs.append(CatalogRequest)
 CatalogRequest.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'after_revision', None, None, ),  # 1
+    (2, TType.I64, 'epoch', None, None, ),  # 2
+    (3, TType.I64, 'version', None, None, ),  # 3
+    (4, TType.BOOL, 'only_if_newer', None, None, ),  # 4
 )
 all_structs.append(Sign)
 Sign.thrift_spec = (
--- a/hornbeamdeal/wire/peer.thrift
+++ b/hornbeamdeal/wire/peer.thrift
@@ -160,8 +160,9 @@
   5: i64 idle_timeout_ms
 }
 
-// Changes of the catalog after `base_revision`, -1 for a full copy. The store
-// held nothing newer `age_ms` ago. `position` is the sender's in the order of
+// Changes of the catalog after `base_revision`, -1 for a full copy. Revisions belong
+// to an epoch of the store, which rises when it is restored from an older copy. The
+// store held nothing newer `age_ms` ago. `position` is the sender's in the order of
 // readers, -1 where it has none. Where `relay_groups` is above 0, the receiver
 // passes the news on to its group of so many in its zone.
 struct CatalogNews {
@@ -173,11 +174,18 @@
   6: map<string, i64> removed
   7: DirectRoutes routes
   8: i32 relay_groups
+  9: i64 epoch
+  10: i64 base_epoch
+  11: map<string, i64> withheld_ms // how much longer listed servers get no new flows
 }
 
-// Asks for what changed after a revision; answered over TCP.
+// Asks for a full copy; answered over TCP. With `only_if_newer` it is answered only
+// by a host that knows more than the position and version tell.
 struct CatalogRequest {
   1: i64 after_revision
+  2: i64 epoch
+  3: i64 version
+  4: bool only_if_newer
 }
 
 // A packet that a server has not reacted to. `caller` is a hash of the caller's
--- a/tests/fakes/dsr_fleet_simulation.py
+++ b/tests/fakes/dsr_fleet_simulation.py
@@ -230,6 +230,7 @@
                 nursery.start_soon(self.reader.run)
                 while True:
                     self.execute(self.peer_sync.tick(trio.current_time()))
+                    self.reader.expire()
                     self._record_version()
                     await trio.sleep(TICK_SECONDS)
 
