Tell peers of servers that left before the reader listed them

Cause: a reader's update named only removals of servers that the reader itself had listed. If a server came and went between two of its answers, a host that had read the listing elsewhere was advanced past the removal without learning of it.

Change: an update carries all removals of a watch. After a full read, which does not tell removals, it applies only to its exact base, and other hosts request a full copy. Both new scenarios of catalog.feature fail on the code before.

--- a/hornbeamdeal/dsr/_catalog.py
+++ b/hornbeamdeal/dsr/_catalog.py
@@ -140,11 +140,13 @@
         """
         if update.base_revision is None or update.epoch < self.epoch:
             return True
+        if self.is_at_or_after(update):
+            return True
         if update.base_epoch != self.epoch:
-            return self.is_at_or_after(update)
-        if update.epoch == self.epoch:
-            return update.base_revision <= self.revision
-        return update.base_revision == self.revision
+            return False
+        if update.epoch != self.epoch or update.needs_exact_base:
+            return update.base_revision == self.revision
+        return update.base_revision <= self.revision
 
     def is_at_or_after(self, update: Update) -> bool:
         """Return whether all changes up to the update's position are applied."""
--- a/hornbeamdeal/dsr/_catalog_reader.py
+++ b/hornbeamdeal/dsr/_catalog_reader.py
@@ -211,7 +211,7 @@
         previous = self.catalog.routes
         changes = self._apply(update)
         self.catalog.confirm(confirmed_at)
-        new_changes = self._new_changes(base, previous, changes)
+        new_changes = self._new_changes(update, base, previous, changes)
         self.read_scheduler.record_answer(
             not new_changes.is_empty, self.clock.monotonic()
         )
@@ -220,27 +220,32 @@
 
     def _new_changes(
         self,
+        answer: Update,
         base: tuple[int, int],
         previous: RouteTable | None,
         changes: list[tuple[str, Any]],
     ) -> Update:
         """Return only the changes, since peers need no more even after a full read.
 
-        `base` is the epoch and revision of the catalog before them.
+        `base` is the epoch and revision of the catalog before them. A server that was
+        not listed here may be listed by a peer, so the answer's removals are kept; a
+        full read doesn't tell them.
         """
         catalog, routes = self.catalog, self.catalog.routes
         base_epoch, base_revision = base
+        removed_servers = [server for change, server in changes if change == "removed"]
         return Update(
             base_epoch=base_epoch,
             base_revision=base_revision,
             epoch=catalog.epoch,
             revision=catalog.revision,
             servers=[server for change, server in changes if change in _ENTRY_CHANGES],
-            removed={
+            removed=answer.removed
+            | {
                 server.server_id: catalog.removals_by_id[server.server_id].revision
-                for change, server in changes
-                if change == "removed"
+                for server in removed_servers
             },
+            needs_exact_base=answer.base_revision is None,
             routes=routes if routes is not previous else None,
             withheld=catalog.provisional.withheld_remaining(catalog.confirmed_at),
         )
--- a/hornbeamdeal/dsr/_news_codec.py
+++ b/hornbeamdeal/dsr/_news_codec.py
@@ -36,6 +36,7 @@
         epoch=update.epoch,
         base_epoch=update.base_epoch,
         withheld_ms={i: round(1000 * s) for i, s in update.withheld.items()},
+        needs_exact_base=update.needs_exact_base,
     )
 
 
@@ -63,6 +64,7 @@
         removed=message.removed,
         routes=routes,
         withheld={i: ms / 1000 for i, ms in withheld_ms.items()},
+        needs_exact_base=bool(message.needs_exact_base),
     )
 
 
--- a/hornbeamdeal/dsr/_records.py
+++ b/hornbeamdeal/dsr/_records.py
@@ -105,13 +105,15 @@
     epoch, is the revision that the changes apply to, None for a full copy, where a
     server that is not listed is removed. `removed` holds the revision of each removal
     by server id. `withheld` holds for how many more seconds listed servers get no new
-    flows. `routes` is None if the configuration is unchanged.
+    flows. `routes` is None if the configuration is unchanged. `needs_exact_base` is set
+    if a server that a later base lists may have left without being in `removed`.
     """
 
     __slots__ = (
         "base_epoch",
         "base_revision",
         "epoch",
+        "needs_exact_base",
         "removed",
         "revision",
         "routes",
@@ -130,6 +132,7 @@
         removed: dict[str, int] | None = None,
         routes: RouteTable | None = None,
         withheld: dict[str, float] | None = None,
+        needs_exact_base: bool = False,
     ):
         self.base_epoch = epoch if base_epoch is None else base_epoch
         self.base_revision = base_revision
@@ -139,6 +142,7 @@
         self.removed = removed or {}
         self.routes = routes
         self.withheld = withheld or {}
+        self.needs_exact_base = needs_exact_base
 
     @property
     def is_empty(self) -> bool:
--- a/hornbeamdeal/wire/_generated/peer/ttypes.py
+++ b/hornbeamdeal/wire/_generated/peer/ttypes.py
@@ -2394,6 +2394,7 @@
      - epoch
      - base_epoch
      - withheld_ms
+     - needs_exact_base
 
     """
 
@@ -2409,10 +2410,11 @@
         'epoch',
         'base_epoch',
         'withheld_ms',
+        'needs_exact_base',
     )
 
 
-    def __init__(self, base_revision=None, revision=None, age_ms=None, position=None, servers=None, removed=None, routes=None, relay_groups=None, epoch=None, base_epoch=None, withheld_ms=None,):
+    def __init__(self, base_revision=None, revision=None, age_ms=None, position=None, servers=None, removed=None, routes=None, relay_groups=None, epoch=None, base_epoch=None, withheld_ms=None, needs_exact_base=None,):
         self.base_revision = base_revision
         self.revision = revision
         self.age_ms = age_ms
@@ -2424,6 +2426,7 @@
         self.epoch = epoch
         self.base_epoch = base_epoch
         self.withheld_ms = withheld_ms
+        self.needs_exact_base = needs_exact_base
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2508,6 +2511,11 @@
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.BOOL:
+                    self.needs_exact_base = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2573,6 +2581,10 @@
                 oprot.writeI64(viter131)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
+        if self.needs_exact_base is not None:
+            oprot.writeFieldBegin('needs_exact_base', TType.BOOL, 12)
+            oprot.writeBool(self.needs_exact_base)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3537,6 +3549,7 @@
     (9, TType.I64, 'epoch', None, None, ),  # 9
     (10, TType.I64, 'base_epoch', None, None, ),  # 10
     (11, TType.MAP, 'withheld_ms', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 11
+    (12, TType.BOOL, 'needs_exact_base', None, None, ),  # 12
 )
 all_structs.append(CatalogRequest)
 CatalogRequest.thrift_spec = (
--- a/hornbeamdeal/wire/peer.thrift
+++ b/hornbeamdeal/wire/peer.thrift
@@ -177,6 +177,7 @@
   9: i64 epoch
   10: i64 base_epoch
   11: map<string, i64> withheld_ms // how much longer listed servers get no new flows
+  12: bool needs_exact_base // a later base may list servers that have left since
 }
 
 // Asks for a full copy; answered over TCP. With `only_if_newer` it is answered only
--- a/tests/dsr/catalog.feature
+++ b/tests/dsr/catalog.feature
@@ -32,3 +32,15 @@
     Guards against one answer of the store that ends every node which reads it.
     When a reader gets an answer that raises an unexpected error
     Then it logs the error and reads again after a back-off
+
+  Scenario: peers learn that a server left that the reader never listed
+    Guards against a server that is used for ever because it came and went between two
+    answers to the reader, while another host had read its entry.
+    Given a reader that gets a server's listing and removal in one watch
+    Then its update removes the server from a peer that listed it
+
+  Scenario: a full read does not hide that a server left
+    Given a reader that makes a full read after a server came and went
+    Then a peer that listed the server needs a full copy
+    And a peer at the reader's former revision applies the update
+    And a peer that has read as much ignores the update
--- a/tests/fakes/dsr_fleet_simulation.py
+++ b/tests/fakes/dsr_fleet_simulation.py
@@ -282,6 +282,7 @@
         self.zone_count = zones
         self.loss = loss
         self.relays = relays
+        self.random_state = random_state
         self.random = random.Random(random_state)
         self.partitioned_zones = set()
         self.cut_hosts = set()
@@ -307,6 +308,9 @@
                     await script(self)
                     await trio.sleep_forever()
 
+        # Without this, trio shuffles the tasks that are ready at the same time.
+        trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True
+        trio._core._run._r.seed(self.random_state)
         trio.run(main, clock=MockClock(autojump_threshold=0))
 
     def restart_host(self, index):
--- a/tests/steps/dsr_catalog_steps.py
+++ b/tests/steps/dsr_catalog_steps.py
@@ -5,8 +5,16 @@
 import trio
 from behave import given, then, when
 from fakes.dsr_host import Host, make_routes, make_server
-
-from hornbeamdeal.dsr import Catalog, CatalogReader, ReadScheduler, Update
+from trio.testing import MockClock
+
+from hornbeamdeal.dsr import (
+    Catalog,
+    CatalogReader,
+    ReadScheduler,
+    Update,
+    decode_news,
+    encode_news,
+)
 
 SERVERS = 4
 
@@ -168,3 +176,103 @@
     now = context.host.clock.monotonic()
     scheduler = context.reader.read_scheduler
     assert 0 < scheduler.next_read_delay(float("-inf"), now) < 10
+
+
+BASE_REVISION, LISTED_REVISION, READ_REVISION = 20, 24, 26
+
+
+class AnsweringSource:
+    """A store with one prepared answer to each read."""
+
+    def __init__(self, answer):
+        self.answer = answer
+
+    async def watch(self, after_revision, wait_seconds):
+        return self.answer
+
+    async def load(self, may_be_stale):
+        return self.answer
+
+
+class SentUpdates:
+    """Records the messages to peers."""
+
+    def __init__(self):
+        self.messages = []
+
+    def broadcast(self, update, previous):
+        message = encode_news(update, age=0.0, position=0, previous_routes=previous)
+        self.messages.append(message)
+
+
+def catalog_at(revision, servers=()):
+    catalog = Catalog()
+    update = make_update(revision, servers=[make_server(1), *servers])
+    update.routes = make_routes()
+    catalog.apply(update, 0.0)
+    return catalog
+
+
+def broadcast_read(context, answer, is_full):
+    """Let a reader at the base revision get an answer; keep its update to peers."""
+    host = Host()
+    reader = CatalogReader(
+        clock=host.clock,
+        catalog=catalog_at(BASE_REVISION),
+        read_scheduler=ReadScheduler(random_state=1),
+        server_health=host.server_health,
+        journal=host.journal,
+        source=AnsweringSource(answer),
+    )
+    reader.peering = SentUpdates()
+    reader.read_scheduler.must_reload = is_full
+    trio.run(reader._read, clock=MockClock(autojump_threshold=0))
+    context.message = reader.peering.messages[0]
+
+
+def is_applied(context, catalog):
+    update = decode_news(context.message, catalog.routes, catalog.epoch)
+    if not catalog.can_apply(update):
+        return False
+    catalog.apply(update, 1.0)
+    return True
+
+
+@given("a reader that gets a server's listing and removal in one watch")
+def given_watch_with_both(context):
+    removed = {make_server(2).server_id: READ_REVISION}
+    answer = make_update(READ_REVISION, base=BASE_REVISION, removed=removed)
+    broadcast_read(context, answer, is_full=False)
+
+
+@given("a reader that makes a full read after a server came and went")
+def given_full_read(context):
+    answer = make_update(READ_REVISION, servers=[make_server(1)])
+    broadcast_read(context, answer, is_full=True)
+
+
+def peer_with_server():
+    listed = make_server(2, revision=LISTED_REVISION)
+    return catalog_at(READ_REVISION - 1, [listed])
+
+
+@then("its update removes the server from a peer that listed it")
+def then_removed(context):
+    peer = peer_with_server()
+    assert is_applied(context, peer)
+    assert make_server(2).server_id not in peer.servers_by_id
+
+
+@then("a peer that listed the server needs a full copy")
+def then_needs_full_copy(context):
+    assert not is_applied(context, peer_with_server())
+
+
+@then("a peer at the reader's former revision applies the update")
+def then_former_applies(context):
+    assert is_applied(context, catalog_at(BASE_REVISION))
+
+
+@then("a peer that has read as much ignores the update")
+def then_ignored(context):
+    assert is_applied(context, catalog_at(READ_REVISION))
--- a/tests/steps/dsr_restored_store_steps.py
+++ b/tests/steps/dsr_restored_store_steps.py
@@ -184,7 +184,7 @@
                 store.put(server=copy)
         listed = {server.server_id for server in self.servers_by_number.values()}
         # The entries of servers that have left lapse.
-        for server_id in set(store.servers_by_id) - listed:
+        for server_id in sorted(set(store.servers_by_id) - listed):
             store.put(removed=server_id)
 
 
