Order host lists by their own revision; read anew after a lost watch

Cause: host lists were ordered by the platform's revision of their key, and a watch after a lost call started at the last revision seen. Both mean nothing in another history of the platform.

Change: a host list is ordered by the revision that it states of itself, and a list with another number than it states is rejected. After an error or a call without a result the next call is a read. Results carry the platform's epoch (X-Epoch).

A revision of 0, which means no version, is now a fault of the list.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -25,7 +25,7 @@
 IDLE_SECONDS = 30
 LOSS_SECONDS = 60
 KILL_COUNT = 9
-HOST_LIST = b'{"entry_hosts": {}}'
+HOST_LIST = b'{"revision": 1, "entry_hosts": {}}'
 # Bounds of docs/design.md.
 CONVERGENCE_BOUND_SECONDS = 3.0
 DETECTION_BOUND_SECONDS = 5.0
--- a/benchmarks/fleet_losses.py
+++ b/benchmarks/fleet_losses.py
@@ -19,7 +19,7 @@
 # dominate the rate of a shorter period.
 RATE_SECONDS = 5
 MOST_SHARE = 0.95
-HOST_LIST = b'{"entry_hosts": {}}'
+HOST_LIST = b'{"revision": 1, "entry_hosts": {}}'
 PARTITION_SECONDS = 60
 HEAL_SECONDS = 20
 
--- a/benchmarks/fleet_platform.py
+++ b/benchmarks/fleet_platform.py
@@ -21,6 +21,7 @@
         self.calls = Counter()
         self.is_down = False
         self.is_unreachable = None
+        self.epoch = 1
         self._frozen_values: tuple | None = None
         self._watches: dict[int, tuple] = {}
 
@@ -56,6 +57,19 @@
         for key in self.revision_by_key:
             self._answer_watches(key)
 
+    def copy(self) -> tuple:
+        """Return a copy of all values with their revisions."""
+        return dict(self.value_by_key), Counter(self.revision_by_key)
+
+    def restore(self, copied: tuple) -> None:
+        """Start a new history from a copy and close all watches."""
+        self.value_by_key, self.revision_by_key = copied
+        self.epoch += 1
+        for host, key, _, answer in list(self._watches.values()):
+            event = PlatformReadCompleted(key, None, error="connection lost")
+            self.schedule(LATENCY_SECONDS, answer, host, event)
+        self._watches.clear()
+
     def read(self, host, action, answer) -> None:
         """Answer a read after the latency; hold a watch until its key changes."""
         self.calls[action.key.rpartition("/")[0] or action.key] += 1
@@ -66,7 +80,7 @@
         after = action.after_revision
         if after is not None and self._revision(action.key) <= after:
             watch_id = sum(self.calls.values())
-            self._watches[watch_id] = (host, action.key, answer)
+            self._watches[watch_id] = (host, action.key, after, answer)
             self.schedule(WATCH_TIMEOUT_SECONDS, self._expire_watch, watch_id)
             return
         self.schedule(LATENCY_SECONDS, self._reply, host, action.key, answer)
@@ -82,16 +96,22 @@
             answer(host, PlatformReadCompleted(key, None, error="unreachable"))
             return
         value = self._readable_values()[0].get(key)
-        answer(host, PlatformReadCompleted(key, value, self._revision(key)))
+        revision = self._revision(key)
+        answer(host, PlatformReadCompleted(key, value, revision, epoch=self.epoch))
 
     def _expire_watch(self, watch_id: int) -> None:
         if watch_id in self._watches:
-            host, key, answer = self._watches.pop(watch_id)
+            host, key, _, answer = self._watches.pop(watch_id)
             self._reply(host, key, answer)
 
     def _answer_watches(self, key: str) -> None:
-        for watch_id in [t for t, watch in self._watches.items() if watch[1] == key]:
-            host, _, answer = self._watches.pop(watch_id)
+        revision = self._revision(key)
+        watches = self._watches.items()
+        answered = [
+            i for i, (_, k, after, _) in watches if k == key and revision > after
+        ]
+        for watch_id in answered:
+            host, _, _, answer = self._watches.pop(watch_id)
             self.schedule(LATENCY_SECONDS, self._reply, host, key, answer)
 
 
--- a/hornbeamdeal/daemon/_executor.py
+++ b/hornbeamdeal/daemon/_executor.py
@@ -6,6 +6,7 @@
 
 from hornbeamdeal import wire
 from hornbeamdeal.kernel import (
+    UNCHANGED,
     AcknowledgeRequest,
     ApplyHostList,
     BroadcastPause,
@@ -29,6 +30,9 @@
 )
 from hornbeamdeal.wire import peer_types
 
+REVISION_HEADER = "x-revision"
+# Rises by one each time that the platform is restored from an older copy.
+EPOCH_HEADER = "x-epoch"
 TOKEN_BYTES = 8
 MESSAGE_ID_COUNT = 1 << 16
 
@@ -203,15 +207,20 @@
     if isinstance(response, Err):
         return PlatformReadCompleted(action.key, None, error=str(response.err_value))
     answer = response.ok_value
+    revision = answer.headers.get(REVISION_HEADER, "0")
+    epoch = answer.headers.get(EPOCH_HEADER, "0")
+    if not epoch.isdecimal():
+        return PlatformReadCompleted(action.key, None, error=f"epoch {epoch!r}")
     if answer.status == 404:
-        return PlatformReadCompleted(action.key, None)
+        return PlatformReadCompleted(action.key, None, epoch=int(epoch))
     if answer.status == 304:
         return PlatformReadCompleted(
-            action.key, None, action.after_revision or 0, "unchanged"
+            action.key, None, action.after_revision or 0, UNCHANGED, int(epoch)
         )
     if answer.status != 200:
         return PlatformReadCompleted(action.key, None, error=f"status {answer.status}")
-    revision = answer.headers.get("x-revision", "0")
     if not revision.isdecimal():
         return PlatformReadCompleted(action.key, None, error=f"revision {revision!r}")
-    return PlatformReadCompleted(action.key, answer.body, int(revision))
+    return PlatformReadCompleted(
+        action.key, answer.body, int(revision), epoch=int(epoch)
+    )
--- a/hornbeamdeal/dissemination/_dissemination.py
+++ b/hornbeamdeal/dissemination/_dissemination.py
@@ -47,7 +47,7 @@
     version_ : Version or None
         Version of the document in force.
     host_list_version_ : Version or None
-        Version of the host list in use; its number is the platform's revision.
+        Version of the host list in use; its number is the list's own revision.
     is_reader_ : bool
         Whether this host watches the platform for its zone.
     ready_ : bool
--- a/hornbeamdeal/dissemination/_platform_reader.py
+++ b/hornbeamdeal/dissemination/_platform_reader.py
@@ -28,10 +28,15 @@
 
 @dataclass(slots=True)
 class KeyWatch:
-    """State of the reads and watches of one key."""
+    """State of the reads and watches of one key.
+
+    `revision` of `epoch` is the one that the next watch starts after, None if the
+    next call is a read.
+    """
 
     due: float
     called_at: float | None = None
+    epoch: int = 0
     revision: int | None = None
     failures: int = 0
 
@@ -68,6 +73,9 @@
             may_call = may_watch or (is_starting and watch.revision is None)
             if not may_call or not self._is_due(watch, now):
                 continue
+            if watch.called_at is not None:
+                # The result of the last call was lost, as after an error.
+                watch.revision = None
             watch.called_at = now
             calls.append(ReadPlatform(key, watch.revision if may_watch else None))
         return calls
@@ -78,16 +86,20 @@
         started = now if watch.called_at is None else watch.called_at
         watch.called_at = None
         if event.error:
+            # The platform may have come back from an older copy, where a watch after
+            # this revision would miss the changes that reuse it.
+            watch.revision = None
             watch.failures += 1
             watch.due = now + self._retry_delay(watch.failures)
             return False
         watch.failures = 0
-        changed = event.revision != watch.revision
+        position = (watch.epoch, watch.revision)
+        changed = (event.epoch, event.revision) != position
         quick = now - started < UNCHANGED_REREAD_DELAY_SECONDS
         watch.due = now + (
             UNCHANGED_REREAD_DELAY_SECONDS if quick and not changed else 0.0
         )
-        watch.revision = event.revision
+        watch.epoch, watch.revision = event.epoch, event.revision
         return True
 
     def schedule_reread(self, key: str, now: float) -> None:
--- a/hornbeamdeal/dissemination/_platform_results.py
+++ b/hornbeamdeal/dissemination/_platform_results.py
@@ -10,7 +10,7 @@
 
 from ._order import NO_VERSION
 from ._platform_reader import HOSTS_KEY, MANIFEST_KEY, SEGMENT_KEY_PREFIX
-from ._segments import parse_manifest, split_host_list
+from ._segments import host_list_number, parse_manifest, split_host_list
 from ._topic import DOCUMENT, HOST_LIST
 from ._topic_updater import TopicUpdater
 
@@ -66,7 +66,16 @@
         if event.value is None:
             readiness.record_platform_version(NO_VERSION)
             return
-        version = Version(event.revision, sha256_digest(event.value))
+        number = host_list_number(event.value)
+        if number is None:
+            self.updater.actions.append(
+                IncrementCounter("dissemination_bad_host_lists", "platform")
+            )
+            self.updater.actions.append(
+                LogEvent("platform_host_list_malformed", {}, "error")
+            )
+            return
+        version = Version(number, sha256_digest(event.value))
         readiness.record_platform_version(version)
         if topic.consider(version, now) is None:
             return
--- a/hornbeamdeal/dissemination/_segments.py
+++ b/hornbeamdeal/dissemination/_segments.py
@@ -7,6 +7,8 @@
 from hornbeamdeal.kernel import Version
 
 MAXIMUM_SEGMENTS = 4096
+# Messages between hosts carry version numbers in 64 bits.
+MAXIMUM_NUMBER = 2**63 - 1
 # Content-defined segments: a host list is split after an entry whose digest is zero
 # under the mask, so that a changed entry changes one segment. A segment has 32
 # entries of 80 bytes on average.
@@ -28,6 +30,20 @@
     return Manifest(version, digests) if 0 < len(digests) <= MAXIMUM_SEGMENTS else None
 
 
+def host_list_number(content: bytes) -> int | None:
+    """Return the host list's own revision, or None if it has none.
+
+    The platform's revision of the key can't order the lists, since it goes back if
+    the platform is restored from an older copy.
+    """
+    try:
+        number = json.loads(content)["revision"]
+    except (ValueError, KeyError, TypeError, RecursionError):
+        return None
+    is_number = isinstance(number, int) and not isinstance(number, bool)
+    return number if is_number and 0 < number <= MAXIMUM_NUMBER else None
+
+
 def split_host_list(content: bytes) -> list[bytes]:
     """Split a host list into content-defined segments, which concatenate to the list."""
     segments = []
--- a/hornbeamdeal/dissemination/_topic.py
+++ b/hornbeamdeal/dissemination/_topic.py
@@ -1,5 +1,6 @@
 """State of one topic: the version in force and the candidate being fetched."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -46,7 +47,8 @@
     For a host list, "in force" means in use.
 
     `check` returns the fault found in the content, or an empty string if it is valid;
-    a faulty version is never put in force.
+    a faulty version is never put in force. `number_of` returns the number that the
+    content itself states; a version with another number is faulty as well.
     """
 
     __slots__ = (
@@ -56,14 +58,22 @@
         "conflicts",
         "in_force",
         "name",
+        "number_of",
         "rejected",
         "segment_digests",
         "segments_by_digest",
     )
 
-    def __init__(self, name: str, check: Any, actions: list[Any]):
+    def __init__(
+        self,
+        name: str,
+        check: Any,
+        actions: list[Any],
+        number_of: Callable[[bytes], int | None] | None = None,
+    ):
         self.name = name
         self.check = check
+        self.number_of = number_of
         self.actions = actions
         self.in_force: Version | None = None
         self.segment_digests: tuple[bytes, ...] = ()
@@ -130,7 +140,7 @@
         if sha256_digest(content) != candidate.version.digest:
             self._discard_manifest(candidate)
             return False
-        fault = self.check(content) if self.check else ""
+        fault = self._find_fault(candidate.version, content)
         if fault:
             self._reject(candidate.version, fault)
             return False
@@ -142,6 +152,11 @@
         self.actions.append(IncrementCounter("dissemination_abandoned", self.name))
         self._drop_candidate()
 
+    def _find_fault(self, version: Version, content: bytes) -> str:
+        if self.number_of is not None and self.number_of(content) != version.number:
+            return "the content states another number; offer its own"
+        return self.check(content) if self.check else ""
+
     def _put_in_force(self, candidate: Candidate, content: bytes) -> None:
         # The order rule is checked again here, at the only place that changes the
         # version in force.
--- a/hornbeamdeal/dissemination/_topic_updater.py
+++ b/hornbeamdeal/dissemination/_topic_updater.py
@@ -15,6 +15,7 @@
     PlatformReader,
 )
 from ._readiness import TopicReadiness
+from ._segments import host_list_number
 from ._topic import DOCUMENT, HOST_LIST, Candidate, Topic
 
 PUSH_FANOUT = 3
@@ -48,8 +49,13 @@
         self.actions: list[Any] = []
         self.peers = peers
         self.topics_by_name = {
-            name: Topic(name, check_by_topic[name], self.actions)
-            for name in (DOCUMENT, HOST_LIST)
+            DOCUMENT: Topic(DOCUMENT, check_by_topic[DOCUMENT], self.actions),
+            HOST_LIST: Topic(
+                HOST_LIST,
+                check_by_topic[HOST_LIST],
+                self.actions,
+                number_of=host_list_number,
+            ),
         }
         self.readiness_by_topic = {
             name: TopicReadiness(now) for name in self.topics_by_name
--- a/hornbeamdeal/document/_schema.py
+++ b/hornbeamdeal/document/_schema.py
@@ -120,7 +120,7 @@
 HOST_LIST_VALIDATOR = Draft202012Validator(
     _object_schema(
         ["revision", "entry_hosts", "targets", "addresses"],
-        revision=_integer_schema(0, MAXIMUM_VERSION),
+        revision=_integer_schema(1, MAXIMUM_VERSION),
         entry_hosts=_named_items_schema(),
         targets=_named_items_schema(),
         addresses=_named_items_schema(),
--- a/hornbeamdeal/kernel/__init__.py
+++ b/hornbeamdeal/kernel/__init__.py
@@ -29,6 +29,7 @@
             "PlatformReadCompleted",
             "RequestReceived",
             "ServerAnswerReceived",
+            "UNCHANGED",
         ],
         "_host_actions": [
             "BroadcastPause",
--- a/hornbeamdeal/kernel/_events.py
+++ b/hornbeamdeal/kernel/_events.py
@@ -43,11 +43,16 @@
     answer: ServerAnswer
 
 
+# Error of a watch that ended without a change.
+UNCHANGED = "unchanged"
+
+
 @dataclass(frozen=True, slots=True)
 class PlatformReadCompleted:
     """A read or watch of a platform key completed.
 
-    `revision` is the revision number that the platform assigned. `error` is empty
+    `revision` is the one that the platform assigned to the key in `epoch`, which rises
+    when the platform is restored from an older copy. `error` is empty
     on success, and `value` is None where the key does not exist.
     """
 
@@ -55,15 +60,15 @@
     value: bytes | None
     revision: int = 0
     error: str = ""
+    epoch: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class HostListApplied:
     """A newer host list is in use.
 
-    `revision` is the number of the host list's version, that is, the revision that
-    the platform assigned. `entry_endpoints` are the endpoints of all entry hosts in
-    the list.
+    `revision` is the one that the list states of itself. `entry_endpoints` are the
+    endpoints of all entry hosts in the list.
     """
 
     revision: int
--- a/tests/dissemination/dissemination.feature
+++ b/tests/dissemination/dissemination.feature
@@ -104,6 +104,29 @@
     When the platform's host list of 2000 targets changes one entry
     Then each dissemination host uses it within 3 s and received less than 30000 bytes
 
+  Scenario: a host list written after the platform was restored is used
+    Guards against lists that are ignored because the platform's revision went back.
+    Given a settled dissemination fleet of 7 hosts
+    When the platform's host lists 2 and 3 are written and used
+    And the platform is restored from the copy before them
+    And 2 s later host list 4 is written
+    Then each dissemination host uses host list 4 within 3 s
+
+  Scenario: a restored platform does not take the host list back
+    Given a settled dissemination fleet of 7 hosts
+    When the platform's host lists 2 and 3 are written and used
+    And the platform is restored from the copy before them
+    Then each dissemination host uses host list 3 for 5 s
+
+  Scenario: a host list that reuses a revision of the platform is used
+    Guards against a watch that starts after the change.
+    Given a settled dissemination fleet of 7 hosts
+    When the platform's host lists 2 and 3 are written and used
+    And the platform is restored from the copy before them
+    And 2 s later host list 4 is written
+    And 2 s later host list 5 is written
+    Then each dissemination host uses host list 5 within 3 s
+
   Scenario: platform calls do not grow with the number of hosts
     Then 36 settled dissemination hosts make as many platform calls as 12
 
--- a/tests/steps/dissemination_steps.py
+++ b/tests/steps/dissemination_steps.py
@@ -33,15 +33,15 @@
 
 PEER = Endpoint("10.0.0.2", 7000)
 CONTENT = b"document of a lone component"
-HOST_LIST = b'{"entry_hosts": {}}'
+HOST_LIST = b'{"revision": 1, "entry_hosts": {}}'
 
 
-def make_host_list(count, changed=-1):
+def make_host_list(count, changed=-1, revision=1):
     targets = {
         f"reservas-{i}": {"ip": "10.1.0.1", "port": 1 if i == changed else 2, "n": i}
         for i in range(count)
     }
-    return json.dumps({"targets": targets}).encode()
+    return json.dumps({"revision": revision, "targets": targets}).encode()
 
 
 def start_fleet(size, random_state=1, segments=20, segment_bytes=1000):
@@ -163,7 +163,50 @@
 
 @when("the platform's host list of 2000 targets changes one entry")
 def when_host_list(context):
-    context.fleet.platform.put("hosts", make_host_list(2000, changed=700))
+    put_host_list(context, 2)
+
+
+def put_host_list(context, revision):
+    content = make_host_list(2000, changed=700 + revision, revision=revision)
+    context.fleet.platform.put("hosts", content)
+
+
+@when("the platform's host lists {first:d} and {last:d} are written and used")
+def when_host_lists_used(context, first, last):
+    context.copy = context.fleet.platform.copy()
+    for revision in (first, last):
+        put_host_list(context, revision)
+        assert context.fleet.run(3, lambda r=revision: uses_host_list(context, r))
+
+
+@when("the platform is restored from the copy before them")
+def when_restored(context):
+    context.fleet.platform.restore(context.copy)
+
+
+@when("{seconds:d} s later host list {revision:d} is written")
+def when_later_host_list(context, seconds, revision):
+    context.fleet.run(seconds)
+    put_host_list(context, revision)
+
+
+@then("each dissemination host uses host list {revision:d} within {seconds:d} s")
+def then_uses_host_list(context, revision, seconds):
+    assert context.fleet.run(seconds, lambda: uses_host_list(context, revision))
+
+
+@then("each dissemination host uses host list {revision:d} for {seconds:d} s")
+def then_keeps_host_list(context, revision, seconds):
+    for _ in range(10 * seconds):
+        context.fleet.run(0.1)
+        assert uses_host_list(context, revision)
+
+
+def uses_host_list(context, revision):
+    content = make_host_list(2000, changed=700 + revision, revision=revision)
+    digest = sha256_digest(content)
+    versions = [h.dissemination.host_list_version_ for h in context.fleet.live_hosts]
+    return all(version.digest == digest for version in versions)
 
 
 @then("within {seconds:d} s document {number:d} is in force on all hosts")
