Renew a watch that ends without a change at once

Entry hosts on a quiet platform could learn of a document or host list up to 10 s late, against 3 s: after each watch that ended without a change (304, after 30 s) a reader paused for 0.25 s to 10 s, longer each time, and platform_errors_total rose, an alarm. With few readers all can pause at once.

Cause: the end of a watch was handled as a failed call and backed off.

Change: it is renewed at once and is no error; in another epoch of the platform a read follows. Both new scenarios "a watch that ends without a change ..." fail on the code before.

--- a/hornbeamdeal/dissemination/_platform_reader.py
+++ b/hornbeamdeal/dissemination/_platform_reader.py
@@ -102,6 +102,15 @@
         watch.epoch, watch.revision = event.epoch, event.revision
         return True
 
+    def record_unchanged(self, event: PlatformReadCompleted, now: float) -> None:
+        """Renew a watch that ended without a change, or read if its history ended."""
+        watch = self.watches_by_key[event.key]
+        watch.called_at = None
+        watch.failures = 0
+        watch.due = now
+        if event.epoch != watch.epoch:
+            watch.revision = None
+
     def schedule_reread(self, key: str, now: float) -> None:
         """Schedule a new read of a key whose last value was unusable."""
         watch = self.watches_by_key[key]
--- a/hornbeamdeal/dissemination/_platform_results.py
+++ b/hornbeamdeal/dissemination/_platform_results.py
@@ -2,6 +2,7 @@
 
 from hornbeamdeal.document import Manifest, sha256_digest
 from hornbeamdeal.kernel import (
+    UNCHANGED,
     IncrementCounter,
     LogEvent,
     PlatformReadCompleted,
@@ -29,6 +30,8 @@
             self._handle_segment(event, now)
         elif event.key not in (MANIFEST_KEY, HOSTS_KEY):
             return
+        elif event.error == UNCHANGED:
+            self.updater.platform.record_unchanged(event, now)
         elif not self.updater.platform.record_result(event, now):
             self.updater.actions.append(IncrementCounter("platform_errors", event.key))
         elif event.key == MANIFEST_KEY:
--- a/tests/dissemination/dissemination.feature
+++ b/tests/dissemination/dissemination.feature
@@ -127,6 +127,18 @@
     And 2 s later host list 5 is written
     Then each dissemination host uses host list 5 within 3 s
 
+  Scenario: a watch that ends without a change is renewed at once
+    Guards against readers that miss changes for seconds on a quiet platform.
+    Given a lone dissemination component that watches the platform
+    When its watch ends without a change 5 times
+    Then it has renewed the watch within 0.1 s each time
+    And it counted no platform errors
+
+  Scenario: a watch that ends without a change in another history is followed by a read
+    Given a lone dissemination component that watches the platform
+    When its watch ends without a change after the platform was restored
+    Then it reads the platform instead of watching
+
   Scenario: platform calls do not grow with the number of hosts
     Then 36 settled dissemination hosts make as many platform calls as 12
 
--- a/tests/steps/dissemination_steps.py
+++ b/tests/steps/dissemination_steps.py
@@ -363,6 +363,62 @@
     receive(context, peer_types.Segments([peer_types.Segment(digest, content)]))
 
 
+def platform_call(context, now):
+    """Return the component's call for the host list, if one is due."""
+    calls = [a for a in context.lone.tick(now) if isinstance(a, ReadPlatform)]
+    return next((call for call in calls if call.key == "hosts"), None)
+
+
+@given("a lone dissemination component that watches the platform")
+def given_watching(context):
+    context.lone = Dissemination(own_id="lone", zone="z", random_state=1)
+    context.now = 5.0
+    own = EntryHost("lone", 1, PEER, "z")
+    context.lone.update(ClusterView("lone", "z", hosts_by_id={"lone": own}), 0.0)
+    assert platform_call(context, context.now).after_revision is None
+    event = PlatformReadCompleted("hosts", HOST_LIST, revision=5, epoch=1)
+    context.lone.handle(event, context.now)
+    assert platform_call(context, context.now + 0.05).after_revision == 5
+
+
+def end_watch(context, epoch):
+    context.now += 30.0
+    event = PlatformReadCompleted("hosts", None, 5, "unchanged", epoch)
+    context.actions = context.lone.handle(event, context.now)
+    context.call = platform_call(context, context.now + 0.1)
+
+
+@when("its watch ends without a change {count:d} times")
+def when_unchanged(context, count):
+    context.counters, context.calls = [], []
+    for _ in range(count):
+        end_watch(context, epoch=1)
+        context.counters += [
+            a.name for a in context.actions if isinstance(a, IncrementCounter)
+        ]
+        context.calls.append(context.call)
+
+
+@when("its watch ends without a change after the platform was restored")
+def when_unchanged_restored(context):
+    end_watch(context, epoch=2)
+
+
+@then("it has renewed the watch within 0.1 s each time")
+def then_renewed(context):
+    assert all(c is not None and c.after_revision == 5 for c in context.calls)
+
+
+@then("it counted no platform errors")
+def then_no_errors(context):
+    assert "platform_errors" not in context.counters
+
+
+@then("it reads the platform instead of watching")
+def then_reads(context):
+    assert context.call is not None and context.call.after_revision is None
+
+
 @given("a lone dissemination component with a document and host list from a peer")
 def given_lone(context):
     lone_component(context)
