Survive malformed answers of the platform on entry hosts

One answer of the platform ended every entry host that read it: a revision of over 4,300 digits, a manifest of deeply nested arrays, or a version beyond 64 bits, which no message to peers can carry (operators' list, one malformed message took a process down; the answer's decoders had no property test).

Cause: these decoders passed on errors other than their own, and the task that handles the platform's answers, like the timers, let any error end the process.

Change: numbers are bounded to 63 bits, a manifest that can't be read is malformed, and an unexpected error in a timer or an answer is logged and counted, as with datagrams. Two decoders join the property test. On the code before, the rows of platform_answers.feature, the two decoders and the three manifests fail, and a tick ends with the error; the scenario on a platform result could not run there, as its entry point is new.

--- a/hornbeamdeal/daemon/_driver.py
+++ b/hornbeamdeal/daemon/_driver.py
@@ -3,7 +3,8 @@
 import logging
 import traceback
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
+from functools import partial
 from typing import Any
 
 import trio
@@ -218,15 +219,22 @@
             # The datagram may have waited in the socket during a pause, so check
             # for the pause before the datagram is processed.
             self._check_pause(self.clock.monotonic())
-            try:
-                receive(data, sender)
-            except Exception:
-                self.metrics.count(IncrementCounter("unexpected_errors"))
-                detail = traceback.format_exc()
-                self.log("unexpected_error", "error", sender=sender, detail=detail)
+            self.run_contained(partial(receive, data, sender), sender)
 
         return receive_contained
 
+    def run_contained(self, step: Callable[[], None], source: Any) -> None:
+        """Run one step; log and count an unexpected error instead of raising it."""
+        try:
+            step()
+        except Exception:
+            self.metrics.count(IncrementCounter("unexpected_errors"))
+            detail = traceback.format_exc()
+            self.log("unexpected_error", "error", sender=source, detail=detail)
+
+    def _tick_component(self, component: Any, now: float) -> None:
+        self.pending_actions_.extend(component.tick(now))
+
     async def _tick_forever(self) -> None:
         while True:
             await trio.sleep(TICK_SECONDS)
@@ -237,9 +245,9 @@
         now = self.clock.monotonic()
         self._check_pause(now)
         for component in self.components.all():
-            self.pending_actions_.extend(component.tick(now))
-        self._execute_pending(now)
-        self.receiver_.process_waiting(now)
+            self.run_contained(partial(self._tick_component, component, now), "tick")
+        self.run_contained(partial(self._execute_pending, now), "tick")
+        self.run_contained(partial(self.receiver_.process_waiting, now), "tick")
         if self.components.membership.superseded_:
             self.log("superseded", "error", remedy="give each host its own host_id")
             raise SupersededError(self.settings.host_id)
--- a/hornbeamdeal/daemon/_executor.py
+++ b/hornbeamdeal/daemon/_executor.py
@@ -1,5 +1,6 @@
 """Executes the actions that the components return."""
 
+from functools import partial
 from typing import Any
 
 from result import Err
@@ -33,6 +34,8 @@
 REVISION_HEADER = "x-revision"
 # Rises by one each time that the platform is restored from an older copy.
 EPOCH_HEADER = "x-epoch"
+MAXIMUM_NUMBER = 2**63 - 1
+MAXIMUM_DIGITS = 19
 TOKEN_BYTES = 8
 MESSAGE_ID_COUNT = 1 << 16
 
@@ -165,8 +168,14 @@
         self.driver.metrics.count(IncrementCounter("platform_calls"))
         source_ip = self.driver.settings.peer_listen.ip
         response = await wire.get(self.driver.settings.platform, target, source_ip)
+        self.handle_platform_answer(action, response)
+
+    def handle_platform_answer(self, action: ReadPlatform, response: Any) -> None:
+        """Hand the platform's answer to the dissemination component."""
         event = make_platform_event(action, response)
-        self.driver.handle_event(event, (self.driver.components.dissemination,))
+        components = (self.driver.components.dissemination,)
+        handle = partial(self.driver.handle_event, event, components)
+        self.driver.run_contained(handle, "platform")
 
     def _put_in_force(self, action: PutInForce) -> None:
         errors = self.driver.configuration.put_in_force(action.content)
@@ -207,20 +216,25 @@
     if isinstance(response, Err):
         return PlatformReadCompleted(action.key, None, error=str(response.err_value))
     answer = response.ok_value
-    revision = answer.headers.get(REVISION_HEADER, "0")
-    epoch = answer.headers.get(EPOCH_HEADER, "0")
-    if not epoch.isdecimal():
-        return PlatformReadCompleted(action.key, None, error=f"epoch {epoch!r}")
+    revision = _decode_number(answer.headers.get(REVISION_HEADER, "0"))
+    epoch = _decode_number(answer.headers.get(EPOCH_HEADER, "0"))
+    if epoch is None:
+        return PlatformReadCompleted(action.key, None, error="epoch is no number")
     if answer.status == 404:
-        return PlatformReadCompleted(action.key, None, epoch=int(epoch))
+        return PlatformReadCompleted(action.key, None, epoch=epoch)
     if answer.status == 304:
         return PlatformReadCompleted(
-            action.key, None, action.after_revision or 0, UNCHANGED, int(epoch)
+            action.key, None, action.after_revision or 0, UNCHANGED, epoch
         )
     if answer.status != 200:
         return PlatformReadCompleted(action.key, None, error=f"status {answer.status}")
-    if not revision.isdecimal():
-        return PlatformReadCompleted(action.key, None, error=f"revision {revision!r}")
-    return PlatformReadCompleted(
-        action.key, answer.body, int(revision), epoch=int(epoch)
-    )
+    if revision is None:
+        return PlatformReadCompleted(action.key, None, error="revision is no number")
+    return PlatformReadCompleted(action.key, answer.body, revision, epoch=epoch)
+
+
+def _decode_number(text: str) -> int | None:
+    """Return a number of at most 63 bits, or None if the text is none."""
+    is_number = text.isdecimal() and text.isascii() and len(text) <= MAXIMUM_DIGITS
+    number = int(text) if is_number else None
+    return number if number is None or number <= MAXIMUM_NUMBER else None
--- a/hornbeamdeal/dissemination/_segments.py
+++ b/hornbeamdeal/dissemination/_segments.py
@@ -2,6 +2,7 @@
 
 import json
 from hashlib import sha256
+from typing import Any
 
 from hornbeamdeal.document import Manifest
 from hornbeamdeal.kernel import Version
@@ -23,9 +24,9 @@
         fields = json.loads(value)
         version = Version(fields["version"], bytes.fromhex(fields["digest"]))
         digests = tuple(bytes.fromhex(text) for text in fields["segments"])
-    except (ValueError, KeyError, TypeError):
+    except (ValueError, KeyError, TypeError, RecursionError):
         return None
-    if not isinstance(version.number, int) or version.number < 1:
+    if not _is_version_number(version.number):
         return None
     return Manifest(version, digests) if 0 < len(digests) <= MAXIMUM_SEGMENTS else None
 
@@ -40,8 +41,12 @@
         number = json.loads(content)["revision"]
     except (ValueError, KeyError, TypeError, RecursionError):
         return None
-    is_number = isinstance(number, int) and not isinstance(number, bool)
-    return number if is_number and 0 < number <= MAXIMUM_NUMBER else None
+    return number if _is_version_number(number) else None
+
+
+def _is_version_number(number: Any) -> bool:
+    is_integer = isinstance(number, int) and not isinstance(number, bool)
+    return is_integer and 0 < number <= MAXIMUM_NUMBER
 
 
 def split_host_list(content: bytes) -> list[bytes]:
--- a/tests/daemon/platform_answers.feature
+++ b/tests/daemon/platform_answers.feature
@@ -10,6 +10,7 @@
       | 200    | 17       | 17     | none           |
       | 200    | soon     | 0      | revision       |
       | 200    | -4       | 0      | revision       |
+      | 200    | 5000 digits | 0   | revision       |
       | 304    | 17       | 5      | unchanged      |
       | 404    | 17       | 0      | none           |
       | 500    | 17       | 0      | status 500     |
--- a/tests/steps/malformed_input_steps.py
+++ b/tests/steps/malformed_input_steps.py
@@ -8,9 +8,11 @@
 from hypothesis import HealthCheck, given as for_all, settings, strategies as st
 from result import Err, Ok
 
+from hornbeamdeal.daemon._executor import make_platform_event
+from hornbeamdeal.dissemination._segments import parse_manifest
 from hornbeamdeal.document import parse_document, parse_host_list
 from hornbeamdeal.dsr import Route, RouteTable, Server, SourceError, Update
-from hornbeamdeal.kernel import Endpoint
+from hornbeamdeal.kernel import Endpoint, ReadPlatform
 from hornbeamdeal.platform._entries import EntryError, decode_routes, decode_server
 from hornbeamdeal.platform._packets import EchoPacketCodec
 from hornbeamdeal.platform._settings import SettingsError, decode_settings
@@ -226,6 +228,27 @@
     assert codec.decode(data, "reservas", CALLER) is None
 
 
+MANIFEST = {"version": 3, "digest": "00" * 32, "segments": ["11" * 32]}
+HEADERS = (
+    st.text(st.characters(max_codepoint=255), max_size=8)
+    | st.integers(-(10**20), 10**20).map(str)
+    | st.just("9" * 5000)
+)
+
+
+def check_manifest(data):
+    manifest = parse_manifest(data)
+    assert manifest is None or 0 < manifest.version.number < 2**63
+
+
+def check_platform_response(parts):
+    status, revision, epoch = parts
+    headers = {"x-revision": revision, "x-epoch": epoch}
+    response = HttpResponse(status, b"value", headers)
+    event = make_platform_event(ReadPlatform("hosts", 5), Ok(response))
+    assert 0 <= event.revision < 2**63 and 0 <= event.epoch < 2**63
+
+
 STORE_ITEM = {"key": "servers/i-1", "value": "e30=", "revision": 3}
 STORE_ANSWER = {
     **STORE_ITEM,
@@ -266,6 +289,11 @@
         lambda: mutated(HOST_LIST) | st.binary(),
         lambda data: check_result(parse_host_list(data)),
     ),
+    "manifest": (lambda: json_inputs(MANIFEST), check_manifest),
+    "platform response": (
+        lambda: st.tuples(st.sampled_from([200, 304, 404]), HEADERS, HEADERS),
+        check_platform_response,
+    ),
     "document": (
         lambda: mutated(DOCUMENT) | st.binary(),
         lambda data: check_result(parse_document(data)),
@@ -366,3 +394,13 @@
 @then("the next request is answered")
 def then_next_answered(context):
     assert context.answer.endswith(b"served"), context.answer
+
+
+@then("a manifest with {fault} is malformed")
+def then_manifest_malformed(context, fault):
+    data = {
+        "deeply nested arrays": NESTED,
+        "a version out of range": json.dumps({**MANIFEST, "version": 2**63}),
+        "true as version": json.dumps({**MANIFEST, "version": True}),
+    }[fault]
+    assert parse_manifest(data if isinstance(data, bytes) else data.encode()) is None
--- a/tests/steps/pause_check_steps.py
+++ b/tests/steps/pause_check_steps.py
@@ -4,6 +4,7 @@
 from types import SimpleNamespace
 
 from behave import given, then, when
+from result import Ok
 
 from hornbeamdeal.daemon._active_configuration import ActiveConfiguration
 from hornbeamdeal.daemon._components import Components
@@ -18,6 +19,7 @@
     ManualClock,
     PauseDetected,
     PeerMessageReceived,
+    ReadPlatform,
     RequestReceived,
     SendPeerMessage,
     ServiceAddress,
@@ -26,7 +28,12 @@
 )
 from hornbeamdeal.observability import Metrics
 from hornbeamdeal.settings import load_entry_settings
-from hornbeamdeal.wire import encode_caller_request, encode_proxied, peer_types
+from hornbeamdeal.wire import (
+    HttpResponse,
+    encode_caller_request,
+    encode_proxied,
+    peer_types,
+)
 
 SETTINGS = {
     "host_id": "aqp-1",
@@ -235,3 +242,36 @@
 def then_rest_held(context, count):
     events = take_requests(context.driver)
     assert [event.is_address_held for event in events] == [True] * count, len(events)
+
+
+class FailingComponent(RecordingComponent):
+    """Component that raises an error that no check foresaw."""
+
+    def handle(self, event, now):
+        raise ZeroDivisionError("unforeseen")
+
+    def tick(self, now):
+        raise ZeroDivisionError("unforeseen")
+
+
+@given("a daemon driver whose dissemination raises an unexpected error")
+def given_failing_driver(context):
+    given_driver(context)
+    context.driver.components.dissemination = FailingComponent()
+
+
+@when("the error occurs in a tick")
+def when_error_in_tick(context):
+    context.driver.tick()
+
+
+@when("the error occurs in a platform result")
+def when_error_in_result(context):
+    action = ReadPlatform("hosts")
+    answer = Ok(HttpResponse(200, b"value", {"x-revision": "1"}))
+    context.driver.executor_.handle_platform_answer(action, answer)
+
+
+@then("the driver goes on and counts {count:d} unexpected error")
+def then_goes_on(context, count):
+    assert context.driver.metrics.value("unexpected_errors") == count
--- a/tests/steps/platform_answers_steps.py
+++ b/tests/steps/platform_answers_steps.py
@@ -10,6 +10,7 @@
 
 @when('the daemon gets a platform response with {status:d} and revision "{revision}"')
 def when_platform_response(context, status, revision):
+    revision = "9" * 5000 if revision == "5000 digits" else revision
     response = HttpResponse(status, b"value", {"x-revision": revision})
     action = ReadPlatform("hosts", after_revision=5)
     context.event = make_platform_event(action, Ok(response))
--- a/tests/wire/malformed_input.feature
+++ b/tests/wire/malformed_input.feature
@@ -17,6 +17,8 @@
       | CoAP message         |
       | run token            |
       | host list            |
+      | manifest             |
+      | platform response    |
       | document             |
       | settings             |
 
@@ -57,3 +59,23 @@
     Guards against one malformed request that ends the process.
     When the target "//[" is requested from a page server
     Then the next request is answered
+
+  Scenario Outline: a manifest with <fault> is malformed
+    Then a manifest with <fault> is malformed
+
+    Examples:
+      | fault                  |
+      | deeply nested arrays   |
+      | a version out of range |
+      | true as version        |
+
+  Scenario Outline: an unexpected error in <place> does not end an entry host
+    Guards against one answer of the platform that ends every host which reads it.
+    Given a daemon driver whose dissemination raises an unexpected error
+    When the error occurs in <place>
+    Then the driver goes on and counts 1 unexpected error
+
+    Examples:
+      | place             |
+      | a tick            |
+      | a platform result |
