Return to the store's epoch after a message with a false one

Cause: an answer of a former epoch was always taken for a late one.

Change: a consistent full read that began when the epoch was known, and is behind it, is the truth; the position is discarded and the read applied.

--- a/hornbeamdeal/dsr/_catalog.py
+++ b/hornbeamdeal/dsr/_catalog.py
@@ -7,6 +7,8 @@
 )
 from ._records import NO_REVISION, Route, RouteTable, Server, Update
 
+# Precedes all epochs of the store.
+UNKNOWN_EPOCH = -1
 # Default maximum duration of a flow.
 FLOW_LIFETIME_SECONDS = 60.0
 # Removed servers are kept for the flow lifetime plus this margin.
@@ -67,7 +69,6 @@
         "routes",
         "servers_by_id",
         "_accepting_servers_by_service",
-        "_is_history_lost",
         "_removed_revisions_by_id",
     )
 
@@ -87,7 +88,6 @@
         self.removals_by_id: dict[str, Removal] = {}
         self.servers_by_handle: dict[int, Server] = {}
         self._accepting_servers_by_service: dict[str, list[Server]] = {}
-        self._is_history_lost = False
         # Revision and time of each removal, including servers never listed here.
         self._removed_revisions_by_id: dict[str, tuple[int, float]] = {}
 
@@ -154,8 +154,8 @@
         return (self.epoch, self.revision) >= position
 
     def lose_history(self) -> None:
-        """Start anew with the next full copy, although its epoch is the same."""
-        self._is_history_lost = True
+        """Start anew with the next full copy, whatever its epoch."""
+        self.epoch = UNKNOWN_EPOCH
 
     def apply(self, update: Update, now: float) -> list[tuple[str, Server]]:
         """Apply newer changes; return pairs of the kind of change and the server.
@@ -169,7 +169,7 @@
                 self._update_routes(update.routes)
             return []
         changes, superseded_ids = [], []
-        if update.epoch > self.epoch or self._is_history_lost:
+        if update.epoch > self.epoch:
             superseded_ids = self._superseded_ids(update.servers)
             changes += self._start_history(update)
         for server in update.servers:
@@ -263,7 +263,6 @@
             if entry is None or entry.revision == NO_REVISION:
                 changes.append(("unconfirmed", unconfirmed))
         self.epoch, self.revision = update.epoch, 0
-        self._is_history_lost = False
         self._removed_revisions_by_id = {}
         self.provisional.clear()
         return changes
--- a/hornbeamdeal/dsr/_catalog_reader.py
+++ b/hornbeamdeal/dsr/_catalog_reader.py
@@ -173,22 +173,23 @@
         update = await self.source.load(may_be_stale=False)
         now = self.clock.monotonic()
         self.read_scheduler.record_reload(now)
-        if update.epoch == epoch and update.revision < revision:
-            self._record_lost_history(update, revision)
+        if (update.epoch, update.revision) < (epoch, revision):
+            self._record_lost_history(update, epoch, revision)
         self._apply_answer(update, started)
         self._log_loaded(update, round(now - started, 3), may_be_stale=False)
 
-    def _record_lost_history(self, update: Update, revision: int) -> None:
-        """Discard the known revisions, since a consistent read is behind them.
+    def _record_lost_history(self, update: Update, epoch: int, revision: int) -> None:
+        """Discard the known position, since a consistent read is behind it.
 
-        Either the store was restored and doesn't report its epochs, or this host began
-        with a stale copy of a lost history.
+        The store was restored without reporting it, or this host has its position from
+        a stale copy of a lost history or from a corrupt message.
         """
         self.catalog.lose_history()
         self.journal.event(
             "store_went_back",
-            epoch=update.epoch,
+            store_epoch=update.epoch,
             store_revision=update.revision,
+            epoch=epoch,
             revision=revision,
         )
 
--- a/tests/dsr/restored_store.feature
+++ b/tests/dsr/restored_store.feature
@@ -115,6 +115,15 @@
     Then the reader's catalog is at revision 12
     And the next watch starts there
 
+  Scenario: a message with an epoch that the store never had does no lasting harm
+    Guards against a fleet that ignores its store for ever after one corrupt message.
+    Given a reader at revision 20
+    When a peer's update of epoch 99 is applied
+    And its watch is answered in the first history at revision 21
+    And a full read is answered with revision 21 of the first history
+    Then the reader's catalog is at revision 21
+    And the next watch starts there
+
   Scenario: a restarted host learns from its peers what the store has lost
     Guards against a withdrawn route or a drained server in use again after a restart.
     Given a fleet of 7 hosts whose store returns at 10 s without a version and a drain
--- a/tests/steps/dsr_restored_catalog_steps.py
+++ b/tests/steps/dsr_restored_catalog_steps.py
@@ -258,6 +258,20 @@
     assert context.source.loads == 0
 
 
+@when("a peer's update of epoch {epoch:d} is applied")
+def when_poisoned(context, epoch):
+    copy = Update(base_revision=None, epoch=epoch, revision=5)
+    context.catalog.apply(copy, context.now)
+    assert context.catalog.epoch == epoch
+
+
+@when("its watch is answered in the first history at revision {revision:d}")
+def when_watch_in_first(context, revision):
+    read_once(context, Update(base_revision=5, epoch=1, revision=revision))
+    then_full_read(context)
+
+
+@when("a full read is answered with revision {revision:d} of the first history")
 @when("a full read is answered with revision {revision:d} of the same history")
 def when_goes_back(context, revision):
     context.reader.read_scheduler.must_reload = True
@@ -281,7 +295,7 @@
 def then_watch_starts(context):
     revision = context.catalog.revision
     read_once(context, Update(base_revision=revision, epoch=1, revision=revision))
-    assert context.source.watched_from == [revision]
+    assert context.source.watched_from[-1] == revision
 
 
 @given(
