--- a/tests/fakes/platform_store.py
+++ b/tests/fakes/platform_store.py
@@ -48,6 +48,21 @@
         """Compact the history: watches after an earlier revision get status 410."""
         self.compacted_revision = self.revision
 
+    def restore(self, revision):
+        """Start a new history from a copy as of a revision; return the lost keys."""
+        before = self.items_by_key
+        self.epoch = (self.epoch or 0) + 1
+        self.revision = revision
+        self.events = [event for event in self.events if event["revision"] <= revision]
+        self.items_by_key = {}
+        for event in self.events:
+            self.items_by_key[event["key"]] = event
+            if event.get("deleted"):
+                del self.items_by_key[event["key"]]
+        self._changed.set()
+        self._changed = trio.Event()
+        return {k for k, item in before.items() if self.items_by_key.get(k) is not item}
+
     async def run(self, listen: Endpoint):
         """Serve until cancelled."""
         await serve_http(listen, self.respond)
@@ -93,12 +108,14 @@
         )
 
     async def _watch(self, query):
-        after = int(query["after"])
-        if after < self.compacted_revision:
+        after, epoch = int(query["after"]), self.epoch
+        if not self.compacted_revision <= after <= self.revision:
             return HttpResponse(410, b"")
         with trio.move_on_after(int(query["wait_ms"]) / 1000):
-            while not self._events_after(after):
+            while not self._events_after(after) and epoch == self.epoch:
                 await self._changed.wait()
+        if epoch != self.epoch:
+            return HttpResponse(503, b"")
         return _json_response(
             {"events": self._events_after(after), "as_of": self.revision}
         )
--- a/tests/fakes/platform_world.py
+++ b/tests/fakes/platform_world.py
@@ -344,6 +344,7 @@
         self.temporary = tempfile.TemporaryDirectory()
         self.folder = Path(self.temporary.name)
         self.store = PlatformStore()
+        self.store.epoch = 1
         self.node_count = nodes
         self.servers = [DirectServer(self, i + 1) for i in range(servers)]
         self.callers = [Caller(self, i) for i in range(callers)]
@@ -364,6 +365,7 @@
         self.publish_routes()
         for server in self.servers:
             self.store.put(f"servers/{server.server_id}", server.entry())
+        self.first_revision = self.store.revision
         try:
             async with trio.open_nursery() as nursery:
                 listen = Endpoint(self.ip(STORE, 1), STORE_PORT)
@@ -398,6 +400,18 @@
     def publish_routes(self):
         """Write a new version of the configuration."""
         self.version += self.random.randrange(1, 4)
+        self._write_routes()
+
+    def write_again(self, keys):
+        """Write what operators and servers wrote last under some keys."""
+        if "op/config" in keys:
+            self._write_routes()
+        for server in self.servers:
+            if f"servers/{server.server_id}" in keys:
+                state = "ready" if server.draining_since is None else "draining"
+                self.store.put(f"servers/{server.server_id}", server.entry(state))
+
+    def _write_routes(self):
         routes = [("198.18.0.1", port, SERVICE) for port in sorted(self.ports)]
         self.store.put("op/config", config_entry(self.version, routes))
 
--- a/tests/fakes/weakened_node.py
+++ b/tests/fakes/weakened_node.py
@@ -1,11 +1,12 @@
 """Runs a node without one mechanism, to check that the soak then fails.
 
-Arguments: the packet address, then the mechanism: freshness, drain or handle.
+Arguments: the packet address, then the mechanism: freshness, drain, handle or epoch.
 """
 
 import sys
 
 from hornbeamdeal.dsr import _catalog, _forwarder, _read_scheduler
+from hornbeamdeal.platform import _store
 from hornbeamdeal.platform.main import main
 
 NEVER_DUE_SHARE = 1_000.0
@@ -39,6 +40,12 @@
     _forwarder.Forwarder._forward_established = forward_established
 
 
+def without_epoch():
+    """Take revisions of all histories of the store as those of one."""
+    _store._decode_epoch = lambda response: 1
+    _catalog.Catalog.lose_history = lambda self: None
+
+
 if __name__ == "__main__":
     globals()[f"without_{sys.argv[2]}"]()
     main(sys.argv[1])
--- a/tests/platform/soak.feature
+++ b/tests/platform/soak.feature
@@ -23,3 +23,4 @@
       | freshness | 2    | after drain  |
       | drain     | 2    | after drain  |
       | handle    | 1    | a flow moved |
+      | epoch     | 8    | after drain  |
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -18,6 +18,8 @@
 RECOVERY_SECONDS = 6.0
 MIN_SERVED_SHARE = 0.9
 FIRST_ADDED_PORT = 500
+# Servers and operators write again what a restored store has lost within this time.
+LONGEST_REWRITE_SECONDS = 0.5
 # Seeds that failed once, with the cause. 401: the store counted as undisturbed 4 s
 # into a fault that lasted up to 5 s.
 REGRESSION_SEEDS: tuple[int, ...] = (401,)
@@ -29,6 +31,8 @@
     def __init__(self, world, seed):
         self.world = world
         self.random = random.Random(seed)
+        # Of its own, so that the other faults of a known seed stay the same.
+        self.restore_random = random.Random(f"restore {seed}")
         self.next_port = FIRST_ADDED_PORT
         self.log = []
 
@@ -51,6 +55,7 @@
         ]
         end_time = trio.current_time() + FAULT_SECONDS
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.restore_store)
             while trio.current_time() < end_time:
                 inject_fault = self.random.choice(fault_kinds)
                 self.log.append(f"{trio.current_time():.2f} {inject_fault.__name__}")
@@ -122,6 +127,31 @@
         self.world.record_store_fault()
         self.world.store.compact()
 
+    async def restore_store(self):
+        """Restore the store from a copy, with changes of a server before and after."""
+        world, uniform = self.world, self.restore_random.uniform
+        server = self.restore_random.choice(world.servers[:2])
+        # The last drain outlasts most other faults, so that its time limit is checked.
+        await trio.sleep(uniform(4.0, FAULT_SECONDS))
+        world.drain(server)
+        await trio.sleep(uniform(0.2, 1.0))
+        world.restore(server)
+        await trio.sleep(uniform(0.2, 1.0))
+        seconds = uniform(0.2, 2.0)
+        world.record_store_fault(seconds)
+        self.log.append(f"{trio.current_time():.2f} restore_store")
+        world.store.is_silent = True
+        copied = world.store.revision - self.restore_random.randrange(12)
+        lost_keys = world.store.restore(max(world.first_revision, copied))
+        await trio.sleep(seconds)
+        world.store.is_silent = False
+        world.record_store_fault()
+        await trio.sleep(uniform(0.0, LONGEST_REWRITE_SECONDS))
+        world.write_again(lost_keys)
+        world.drain(server)
+        await trio.sleep(uniform(8.0, 10.0))
+        world.restore(server)
+
     async def drain_server(self):
         server = self.random.choice(self.world.servers[:2])
         self.world.drain(server)
