Restore the platform's stand-in and test entry hosts with it

The stand-in of the platform can now be copied and restored: files and their revisions go back, watches are closed, X-Epoch rises.

The scenario "the platform is restored from an older copy" runs real processes: a document and a host list are lost, the document stays in force, a list that gets the lost one's revision is used within 4 s, and a further document is in force.

--- a/hornbeamdeal/standins/environment.py
+++ b/hornbeamdeal/standins/environment.py
@@ -126,8 +126,8 @@
             for file in sorted(files, key=lambda file: file.name == "manifest"):
                 self.publish_value(str(file.relative_to(out)), file.read_bytes())
 
-    def publish_hosts(self) -> None:
-        """Publish the host list with a new revision."""
+    def publish_hosts(self, key_revision: int | None = None) -> None:
+        """Publish the host list with a new revision, `key_revision` at the platform."""
         self.hosts_revision_ += 1
         hosts = {
             "revision": self.hosts_revision_,
@@ -135,14 +135,22 @@
             "targets": self.targets_by_name_,
             "addresses": self.addresses_by_name_,
         }
-        self.publish_value("hosts", json.dumps(hosts).encode())
+        self.publish_value("hosts", json.dumps(hosts).encode(), key_revision)
 
-    def publish_value(self, key: str, content: bytes) -> None:
+    def key_revision(self, key: str) -> int:
+        """Return the platform's revision of a key."""
+        return (self.folder / "platform" / key).stat().st_mtime_ns
+
+    def publish_value(
+        self, key: str, content: bytes, key_revision: int | None = None
+    ) -> None:
         """Write the value of a platform key in one step."""
         path = self.folder / "platform" / key
         path.parent.mkdir(parents=True, exist_ok=True)
         partial = self.folder / "partial"
         partial.write_bytes(content)
+        if key_revision is not None:
+            os.utime(partial, ns=(key_revision, key_revision))
         partial.rename(path)
 
     # Processes
--- a/hornbeamdeal/standins/platform.py
+++ b/hornbeamdeal/standins/platform.py
@@ -3,6 +3,7 @@
 It serves the files of a folder, so that tests publish values by writing files.
 """
 
+import os
 from pathlib import Path
 
 import fire
@@ -22,7 +23,9 @@
 class Platform:
     """Serves values by key, counts calls, and simulates outages, delays and staleness.
 
-    A value's revision is the modification time of its file in nanoseconds.
+    A value's revision is the modification time of its file in nanoseconds. The values
+    can be copied and later restored from the copy, which begins another epoch and
+    closes all watches.
     """
 
     __slots__ = (
@@ -30,6 +33,8 @@
         "down",
         "delay",
         "blocked_ips",
+        "copied_values_",
+        "epoch_",
         "stale_values_",
         "calls_",
         "watches_",
@@ -41,16 +46,25 @@
         self.delay = 0.0
         self.blocked_ips: set[str] = set()
         self.stale_values_: dict[str, tuple[bytes, int]] | None = None
+        self.copied_values_: dict[str, tuple[bytes, int]] = {}
+        self.epoch_ = 1
         self.calls_ = 0
         self.watches_ = 0
 
     def configure(self, message: dict) -> dict:
-        """Apply a control message: down, delay (seconds), stale, cut (IPs of hosts)."""
+        """Apply a control message.
+
+        Keys: down, delay (seconds), stale, cut (IPs of hosts), copy, restore.
+        """
         self.blocked_ips = set(message.get("cut", self.blocked_ips))
         self.down = bool(message.get("down", self.down))
         self.delay = float(message.get("delay", self.delay))
         if "stale" in message:
             self.stale_values_ = self._snapshot() if message["stale"] else None
+        if message.get("copy"):
+            self.copied_values_ = self._snapshot()
+        if message.get("restore"):
+            self._restore()
         return {"calls": self.calls_, "watches": self.watches_}
 
     async def respond(self, request: HttpRequest) -> HttpResponse | None:
@@ -64,21 +78,29 @@
         value = self._read(key)
         if after is not None:
             self.watches_ += 1
+            epoch = self.epoch_
             value = await self._watch(key, int(after))
+            if epoch != self.epoch_:
+                return None
             if request.sender_ip in self.blocked_ips:
                 return None
             if value is None:
-                return HttpResponse(304, b"", {})
+                return HttpResponse(304, b"", self._headers())
         if self.down:
             return None
         if value is None:
-            return HttpResponse(404, b"", {})
+            return HttpResponse(404, b"", self._headers())
         content, revision = value
-        return HttpResponse(200, content, {"X-Revision": str(revision)})
+        headers = self._headers() | {"X-Revision": str(revision)}
+        return HttpResponse(200, content, headers)
+
+    def _headers(self) -> dict[str, str]:
+        return {"X-Epoch": str(self.epoch_)}
 
     async def _watch(self, key: str, after: int) -> tuple[bytes, int] | None:
+        epoch = self.epoch_
         with trio.move_on_after(WATCH_TIMEOUT_SECONDS):
-            while not self.down:
+            while not self.down and epoch == self.epoch_:
                 value = self._read(key)
                 if value is not None and value[1] > after:
                     return value
@@ -93,6 +115,14 @@
             return None
         return path.read_bytes(), path.stat().st_mtime_ns
 
+    def _restore(self) -> None:
+        for key in self._snapshot().keys() - self.copied_values_.keys():
+            (self.folder / key).unlink()
+        for key, (content, revision) in self.copied_values_.items():
+            (self.folder / key).write_bytes(content)
+            os.utime(self.folder / key, ns=(revision, revision))
+        self.epoch_ += 1
+
     def _snapshot(self) -> dict[str, tuple[bytes, int]]:
         paths = [path for path in self.folder.rglob("*") if path.is_file()]
         keys = [str(path.relative_to(self.folder)) for path in paths]
--- a/tests/daemon/failures.feature
+++ b/tests/daemon/failures.feature
@@ -75,6 +75,19 @@
     When the platform is up again with version 3
     Then version 3 is in force on all hosts within 4 seconds
 
+  Scenario: the platform is restored from an older copy
+    Guards against a document that reverts, and against host lists that are ignored
+    because the platform gives out its revisions again.
+    Given the environment of Arequipa runs
+    When the platform is copied
+    And version 2 and a host list are published and used
+    And the platform is restored from the copy
+    Then version 2 stays in force on all hosts
+    When a host list with the revision of the lost one is published
+    Then all hosts use it within 4 seconds
+    When version 3 is published and in force
+    Then version 3 stays in force on all hosts
+
   Scenario: an address moves to another service while a host is paused
     Guards against a packet for one service that reaches the other: hosts have
     different versions for a while, and one resumes later with the old version.
