Keep the epoch of answers that carry none; send withheld servers only once

The scenario "an answer without an epoch belongs to the last one" fails on the code before. A new scenario shows that pages of two histories make no copy.

--- a/hornbeamdeal/dsr/_catalog_reader.py
+++ b/hornbeamdeal/dsr/_catalog_reader.py
@@ -234,13 +234,16 @@
         """
         catalog, routes = self.catalog, self.catalog.routes
         base_epoch, base_revision = base
+        servers = [server for change, server in changes if change in _ENTRY_CHANGES]
         removed_servers = [server for change, server in changes if change == "removed"]
+        withheld = catalog.provisional.withheld_remaining(catalog.confirmed_at)
+        changed_ids = {server.server_id for server in servers}
         return Update(
             base_epoch=base_epoch,
             base_revision=base_revision,
             epoch=catalog.epoch,
             revision=catalog.revision,
-            servers=[server for change, server in changes if change in _ENTRY_CHANGES],
+            servers=servers,
             removed=answer.removed
             | {
                 server.server_id: catalog.removals_by_id[server.server_id].revision
@@ -248,7 +251,7 @@
             },
             needs_exact_base=answer.base_revision is None,
             routes=routes if routes is not previous else None,
-            withheld=catalog.provisional.withheld_remaining(catalog.confirmed_at),
+            withheld={i: s for i, s in withheld.items() if i in changed_ids},
         )
 
     def _apply(self, update: Update) -> list[tuple[str, Any]]:
--- a/hornbeamdeal/platform/_store.py
+++ b/hornbeamdeal/platform/_store.py
@@ -50,7 +50,7 @@
     Attributes
     ----------
     epoch_ : int or None
-        Epoch of the last response, None before the first.
+        Epoch of the last response that has one, None before the first.
     """
 
     __slots__ = ("client", "epoch_", "journal", "_reported_revisions")
@@ -143,7 +143,7 @@
             epoch = _decode_epoch(response)
         except ValueError as error:
             raise self._make_error("garbled", f"{target}: {error}") from error
-        if epoch != self.epoch_:
+        if epoch is not None and epoch != self.epoch_:
             self.journal.count("store_epoch_changes")
             self.journal.event("store_epoch", epoch=epoch, previous=self.epoch_)
             self.epoch_ = epoch
@@ -213,8 +213,10 @@
             self.journal.event("entry_unusable", key=key, problem=problem)
 
 
-def _decode_epoch(response: HttpResponse) -> int:
-    text = response.headers.get(EPOCH_HEADER, "0")
+def _decode_epoch(response: HttpResponse) -> int | None:
+    text = response.headers.get(EPOCH_HEADER)
+    if text is None:
+        return None
     if not text.isdecimal() or not text.isascii() or int(text) > MAXIMUM_REVISION:
         raise ValueError(f"{EPOCH_HEADER} {text!r} is not an integer of 63 bits")
     return int(text)
--- a/tests/platform/adapter.feature
+++ b/tests/platform/adapter.feature
@@ -104,6 +104,20 @@
     Then the update has epoch 3
     And the change to epoch 3 is logged
 
+  Scenario: an answer without an epoch belongs to the last one
+    Guards against full reads because an error response lacks the epoch.
+    Given a stand-in store with 2 servers on pages of 50
+    And answers of the store that carry epoch 3
+    When the adapter loads the store, and again as answers carry no epoch
+    Then the update has epoch 3
+    And the change to epoch 3 is logged
+
+  Scenario: pages of two histories make no copy
+    Given a stand-in store with 60 servers on pages of 50
+    And answers of the store that carry epoch 3
+    When the store is restored between two pages of a load
+    Then the load fails as restored
+
   Scenario Outline: an answer whose epoch can't be read is garbled
     Given a stand-in store with 2 servers on pages of 50
     And answers of the store that carry epoch <epoch>
--- a/tests/steps/platform_adapter_steps.py
+++ b/tests/steps/platform_adapter_steps.py
@@ -251,6 +251,48 @@
     context.store.epoch = epoch
 
 
+@when("the adapter loads the store, and again as answers carry no epoch")
+def when_load_twice(context):
+    async def call(source):
+        await source.load(False)
+        context.store.epoch = None
+        return await source.load(False)
+
+    context.update = trio.run(_call_adapter, context, call)
+
+
+class RestoringClient:
+    """Client of a store that is restored after its first answer."""
+
+    def __init__(self, client, store):
+        self.client = client
+        self.store = store
+        self.answers = 0
+
+    async def get(self, target, timeout_seconds):
+        if self.answers == 1:
+            self.store.restore(self.store.revision)
+        self.answers += 1
+        return await self.client.get(target, timeout_seconds)
+
+
+@when("the store is restored between two pages of a load")
+def when_restored_between_pages(context):
+    context.store.epoch = int(context.store.epoch)
+
+    async def call(source):
+        source.client = RestoringClient(source.client, context.store)
+        return await source.load(False)
+
+    context.error = trio.run(_call_adapter, context, call)
+
+
+@then("the load fails as {reason}")
+def then_load_failed(context, reason):
+    assert isinstance(context.error, SourceError), context.error
+    assert context.error.reason == reason
+
+
 @then("the update has epoch {epoch:d}")
 def then_epoch(context, epoch):
     assert context.update.epoch == epoch
