Ignore a late listing of a server that left before a full copy

A host could use a server that had left until another full read, with or without a restored store: found by the model that comes with this change.

Cause: a host that read a full copy without the server kept no trace of its removal. An update of before, overtaken by the copy, then listed it.

Change: a full copy is complete, so an entry with a revision up to the latest one that is not listed here has left, and is ignored.

--- a/hornbeamdeal/dsr/_catalog.py
+++ b/hornbeamdeal/dsr/_catalog.py
@@ -69,6 +69,7 @@
         "routes",
         "servers_by_id",
         "_accepting_servers_by_service",
+        "_copied_revision",
         "_removed_revisions_by_id",
     )
 
@@ -88,6 +89,8 @@
         self.removals_by_id: dict[str, Removal] = {}
         self.servers_by_handle: dict[int, Server] = {}
         self._accepting_servers_by_service: dict[str, list[Server]] = {}
+        # Revision of the latest full copy: a server not listed since has left.
+        self._copied_revision = 0
         # Revision and time of each removal, including servers never listed here.
         self._removed_revisions_by_id: dict[str, tuple[int, float]] = {}
 
@@ -169,7 +172,8 @@
                 self._update_routes(update.routes)
             return []
         changes, superseded_ids = [], []
-        if update.epoch > self.epoch:
+        is_new_epoch = update.epoch > self.epoch
+        if is_new_epoch:
             superseded_ids = self._superseded_ids(update.servers)
             changes += self._start_history(update)
         for server in update.servers:
@@ -186,6 +190,8 @@
         if update.routes is not None:
             self._update_routes(update.routes)
         self.revision = max(self.revision, update.revision)
+        if is_new_epoch or update.base_revision is None:
+            self._copied_revision = max(self._copied_revision, update.revision)
         if changes or update.routes is not None:
             self._rebuild_indexes(now)
         return changes
@@ -262,7 +268,7 @@
             self.servers_by_id[server_id] = unconfirmed
             if entry is None or entry.revision == NO_REVISION:
                 changes.append(("unconfirmed", unconfirmed))
-        self.epoch, self.revision = update.epoch, 0
+        self.epoch, self.revision, self._copied_revision = update.epoch, 0, 0
         self._removed_revisions_by_id = {}
         self.provisional.clear()
         return changes
@@ -296,6 +302,8 @@
         known = self.servers_by_id.get(server.server_id)
         if known is not None and known.revision >= server.revision:
             return False
+        if known is None and NO_REVISION < server.revision <= self._copied_revision:
+            return False
         removal = self._removed_revisions_by_id.get(server.server_id)
         if removal is not None and removal[0] >= server.revision:
             return False
--- a/tests/dsr/catalog.feature
+++ b/tests/dsr/catalog.feature
@@ -44,3 +44,24 @@
     Then a peer that listed the server needs a full copy
     And a peer at the reader's former revision applies the update
     And a peer that has read as much ignores the update
+
+  Scenario: an update that comes late lists no server that left before a full copy
+    Guards against a server that is used for ever because its listing was overtaken by
+    a full copy without it.
+    Given a catalog with version 7
+    When a full copy of revision 9 that lists server 1 of revision 4 is applied
+    And an update lists server 2 of revision 5
+    Then server 2 is not listed
+
+  Scenario: hosts that are current agree with a store that is restored
+    Then the model of store epochs holds with all mechanisms
+
+  Scenario Outline: each mechanism against a restored store is needed
+    Guards against a model that holds even without a mechanism.
+    Then the model of store epochs fails without <mechanism>
+
+    Examples:
+      | mechanism    |
+      | epochs       |
+      | exact_base   |
+      | all_removals |
--- a/tests/steps/dsr_catalog_steps.py
+++ b/tests/steps/dsr_catalog_steps.py
@@ -5,6 +5,7 @@
 import trio
 from behave import given, then, when
 from fakes.dsr_host import Host, make_routes, make_server
+from specs.store_epochs import check
 from trio.testing import MockClock
 
 from hornbeamdeal.dsr import (
@@ -78,10 +79,11 @@
     context.catalog.apply(update, 2.0)
 
 
-@when("an update lists server 1 of revision {revision:d}")
-def when_listed(context, revision):
-    server = make_server(1, revision=revision)
-    context.catalog.apply(make_update(revision, base=9, servers=[server]), 2.0)
+@when("an update lists server {number:d} of revision {revision:d}")
+def when_listed(context, number, revision):
+    server = make_server(number, revision=revision)
+    base = min(9, revision - 1)
+    context.catalog.apply(make_update(revision, base=base, servers=[server]), 2.0)
 
 
 @then("the catalog has version {version:d}")
@@ -89,9 +91,9 @@
     assert context.catalog.routes.version == version
 
 
-@then("server 1 is not listed")
-def then_not_listed(context):
-    assert make_server(1).server_id not in context.catalog.servers_by_id
+@then("server {number:d} is not listed")
+def then_not_listed(context, number):
+    assert make_server(number).server_id not in context.catalog.servers_by_id
 
 
 @then("server 1 is listed")
@@ -276,3 +278,18 @@
 @then("a peer that has read as much ignores the update")
 def then_ignored(context):
     assert is_applied(context, catalog_at(READ_REVISION))
+
+
+@then("the model of store epochs holds with all mechanisms")
+def then_model_holds(context):
+    result = check()
+    assert result["exhaustive"]
+    assert result["properties"]["current_hosts_agree"]["holds"] is True, result
+
+
+@then("the model of store epochs fails without {mechanism}")
+def then_model_fails(context, mechanism):
+    result = check(**{mechanism: False}, maximum_revision=3)
+    found = result["properties"]["current_hosts_agree"]
+    assert found["holds"] is False
+    assert found["counterexample"]
