Report unusable values of the platform in one place

Manifests and host lists that can't be read were counted and logged by the same lines twice; the steps for restored catalogs had a clock of their own.

--- a/hornbeamdeal/dissemination/_platform_results.py
+++ b/hornbeamdeal/dissemination/_platform_results.py
@@ -47,12 +47,7 @@
             return
         manifest = parse_manifest(event.value)
         if manifest is None:
-            self.updater.actions.append(
-                IncrementCounter("dissemination_bad_manifests", "platform")
-            )
-            self.updater.actions.append(
-                LogEvent("platform_manifest_malformed", {}, "error")
-            )
+            self._report("dissemination_bad_manifests", "platform_manifest_malformed")
             return
         readiness.record_platform_version(manifest.version)
         candidate = topic.apply_manifest(manifest, now)
@@ -71,12 +66,7 @@
             return
         number = host_list_number(event.value)
         if number is None:
-            self.updater.actions.append(
-                IncrementCounter("dissemination_bad_host_lists", "platform")
-            )
-            self.updater.actions.append(
-                LogEvent("platform_host_list_malformed", {}, "error")
-            )
+            self._report("dissemination_bad_host_lists", "platform_host_list_malformed")
             return
         version = Version(number, sha256_digest(event.value))
         readiness.record_platform_version(version)
@@ -89,6 +79,11 @@
             topic.store_segment(digest, segment, now)
         self.updater.step(topic, now)
 
+    def _report(self, counter: str, event: str) -> None:
+        """Count and log a value that can't be used."""
+        self.updater.actions.append(IncrementCounter(counter, "platform"))
+        self.updater.actions.append(LogEvent(event, {}, "error"))
+
     def _handle_segment(self, event: PlatformReadCompleted, now: float) -> None:
         digest = bytes.fromhex(event.key.removeprefix(SEGMENT_KEY_PREFIX))
         failed = event.value is None or sha256_digest(event.value) != digest
--- a/tests/steps/dsr_restored_catalog_steps.py
+++ b/tests/steps/dsr_restored_catalog_steps.py
@@ -2,7 +2,7 @@
 
 import trio
 from behave import given, then, when
-from fakes.dsr_fleet_simulation import FleetSimulation
+from fakes.dsr_fleet_simulation import FleetSimulation, TrioClock
 from fakes.dsr_host import SERVICE, RecordingJournal, make_routes, make_server
 from trio.testing import MockClock
 
@@ -216,7 +216,7 @@
     given_catalog(context, "ready")
     context.source = ScriptedSource()
     context.reader = CatalogReader(
-        clock=context.clock if "clock" in context else TrioTime(),
+        clock=TrioClock(),
         catalog=context.catalog,
         read_scheduler=ReadScheduler(random_state=1),
         server_health=ServerHealth(),
@@ -225,13 +225,6 @@
     )
 
 
-class TrioTime:
-    """Clock of trio's virtual time."""
-
-    def monotonic(self):
-        return trio.current_time()
-
-
 def read_once(context, answer):
     context.source.answer = answer
     trio.run(context.reader._read, clock=MockClock(autojump_threshold=0))
