--- a/hornbeamdeal/dsr/_base.py
+++ b/hornbeamdeal/dsr/_base.py
@@ -2,6 +2,8 @@
 
 from typing import Any, Protocol
 
+from ._records import Route, Server
+
 
 class CallerPacket:
     """Header fields of a caller's packet.
@@ -79,6 +81,33 @@
         """Return the service address as text for logs."""
 
 
+class AnswerObserver(Protocol):
+    """Learns how long callers waited for servers' answers.
+
+    Times end when the caller acknowledges the answer, which may be later than its
+    arrival.
+    """
+
+    def record_answer(
+        self, route: Route, server: Server, seconds: float, now: float
+    ) -> None:
+        """Record the seconds from a request's first packet to its answer."""
+
+    def record_failure(self, route: Route, server: Server, now: float) -> None:
+        """Record a request whose flow ended without an answer."""
+
+
+class Admission(Protocol):
+    """Decides under load which new flows are served."""
+
+    def admits(self, route: Route, caller: int, now: float) -> bool:
+        """Return whether a new flow of a route is served.
+
+        `caller` is a hash of the caller's address. Copies of an opening packet are not
+        asked about again.
+        """
+
+
 class Transmit(Protocol):
     """Sends a datagram without blocking."""
 
--- a/hornbeamdeal/dsr/_catalog.py
+++ b/hornbeamdeal/dsr/_catalog.py
@@ -1,11 +1,12 @@
 """One host's replica of the routes and servers, and its age."""
 
+from ._evacuations import ZoneEvacuations
 from ._provisional import (
     ENTRY_LIFETIME_SECONDS,
     REREGISTRATION_SECONDS,
     ProvisionalServers,
 )
-from ._records import NO_REVISION, Route, RouteTable, Server, Update
+from ._records import NO_REVISION, Route, RouteTable, Server, Service, Update
 
 # Precedes all epochs of the store.
 UNKNOWN_EPOCH = -1
@@ -56,11 +57,17 @@
         Store revision up to which all changes are applied; 0 before the first.
     confirmed_at : float
         Monotonic time at which the store was known to hold nothing newer.
+    evacuations : ZoneEvacuations
+        Zones whose servers get no new flows.
+    changed_zones : list of str
+        Zones whose evacuation began or ended with the latest update or expiry.
     """
 
     __slots__ = (
+        "changed_zones",
         "confirmed_at",
         "epoch",
+        "evacuations",
         "flow_lifetime",
         "provisional",
         "servers_by_handle",
@@ -69,6 +76,7 @@
         "routes",
         "servers_by_id",
         "_accepting_servers_by_service",
+        "_cold_until_by_id",
         "_copied_revision",
         "_removed_revisions_by_id",
     )
@@ -81,6 +89,8 @@
     ):
         self.flow_lifetime = flow_lifetime
         self.provisional = ProvisionalServers(entry_lifetime=entry_lifetime)
+        self.evacuations = ZoneEvacuations()
+        self.changed_zones: list[str] = []
         self.epoch = 0
         self.revision = 0
         self.confirmed_at = float("-inf")
@@ -89,6 +99,9 @@
         self.removals_by_id: dict[str, Removal] = {}
         self.servers_by_handle: dict[int, Server] = {}
         self._accepting_servers_by_service: dict[str, list[Server]] = {}
+        # When servers stop being cold, counted from when their entries were learned. The
+        # entry was written earlier, so this is never too soon.
+        self._cold_until_by_id: dict[str, float] = {}
         # Revision of the latest full copy: a server not listed since has left.
         self._copied_revision = 0
         # Revision and time of each removal, including servers never listed here.
@@ -111,6 +124,22 @@
         """Return the servers of a service that take new flows."""
         return self._accepting_servers_by_service.get(service, [])
 
+    def has_evacuated_servers(self, service: str) -> bool:
+        """Return whether servers of a service get no flows as zones are evacuated."""
+        evacuations = self.evacuations
+        servers = self.servers_by_id.values()
+        return any(
+            s.service == service and evacuations.is_evacuated(s.zone) for s in servers
+        )
+
+    def find_service(self, name: str) -> Service | None:
+        """Return a service's properties, or None if the configuration has none."""
+        return self.routes.services_by_name.get(name) if self.routes else None
+
+    def cold_until(self, server_id: str) -> float:
+        """Return when a server stops being cold, minus infinity if it is not."""
+        return self._cold_until_by_id.get(server_id, float("-inf"))
+
     def is_gone(self, server: Server, now: float) -> bool:
         """Return whether a removed server's flows are certainly lost.
 
@@ -166,6 +195,7 @@
         Kinds are "listed" and "removed"; in a copy of a restored store "unconfirmed"
         and "withheld" servers as well.
         """
+        self.changed_zones = []
         if update.epoch < self.epoch:
             # Only versions of the configuration are comparable between histories.
             if update.routes is not None:
@@ -176,8 +206,9 @@
         if is_new_epoch:
             superseded_ids = self._superseded_ids(update.servers)
             changes += self._start_history(update)
+            self.evacuations.start_epoch(update.base_revision is None, now)
         for server in update.servers:
-            if self._add_server(server):
+            if self._add_server(server, now):
                 changes.append(("listed", server))
         for server_id in superseded_ids:
             self.provisional.withhold(server_id, now)
@@ -187,21 +218,28 @@
             removed = self._remove_server(server_id, revision, now)
             if removed is not None:
                 changes.append(("removed", removed))
+        self.changed_zones = self.evacuations.apply(
+            update.zones,
+            update.revision if update.base_revision is None else None,
+            now,
+        )
         if update.routes is not None:
             self._update_routes(update.routes)
         self.revision = max(self.revision, update.revision)
         if is_new_epoch or update.base_revision is None:
             self._copied_revision = max(self._copied_revision, update.revision)
-        if changes or update.routes is not None:
+        if changes or self.changed_zones or update.routes is not None:
             self._rebuild_indexes(now)
         return changes
 
     def expire(self, now: float) -> list[tuple[str, Server]]:
         """Remove or release provisional servers whose time is over.
 
-        Return pairs of "removed" or "released" and the server.
+        Return pairs of "removed" or "released" and the server. Unconfirmed evacuations
+        end as well.
         """
-        if self.provisional.is_empty:
+        self.changed_zones = self.evacuations.expire(now)
+        if self.provisional.is_empty and not self.changed_zones:
             return []
         changes = []
         for server_id in self.provisional.lapsed_ids(self.confirmed_at):
@@ -211,7 +249,7 @@
         for server_id in self.provisional.releasable_ids(self.confirmed_at):
             self.provisional.release(server_id)
             changes.append(("released", self.servers_by_id[server_id]))
-        if changes:
+        if changes or self.changed_zones:
             self._rebuild_indexes(now)
         return changes
 
@@ -219,7 +257,7 @@
         """Record that the store held nothing newer at this monotonic time."""
         self.confirmed_at = max(self.confirmed_at, at)
 
-    def as_update(self) -> Update:
+    def as_update(self, now: float) -> Update:
         """Return a full copy of the catalog for another host."""
         return Update(
             base_revision=None,
@@ -228,6 +266,7 @@
             servers=list(self.servers_by_id.values()),
             routes=self.routes,
             withheld=self.provisional.withheld_remaining(self.confirmed_at),
+            zones=self.evacuations.evacuated_states(now),
         )
 
     def _superseded_ids(self, entries: list[Server]) -> list[str]:
@@ -298,7 +337,7 @@
                     removed.setdefault(server_id, update.revision)
         return removed
 
-    def _add_server(self, server: Server) -> bool:
+    def _add_server(self, server: Server, now: float) -> bool:
         known = self.servers_by_id.get(server.server_id)
         if known is not None and known.revision >= server.revision:
             return False
@@ -310,6 +349,10 @@
         self.provisional.release(server.server_id)
         self.removals_by_id.pop(server.server_id, None)
         self.servers_by_id[server.server_id] = server
+        if server.cold_seconds > 0:
+            self._cold_until_by_id[server.server_id] = now + server.cold_seconds
+        else:
+            self._cold_until_by_id.pop(server.server_id, None)
         return True
 
     def _remove_server(
@@ -324,6 +367,7 @@
         if known is None:
             return None
         del self.servers_by_id[server_id]
+        self._cold_until_by_id.pop(server_id, None)
         self.provisional.release(server_id)
         self.removals_by_id[server_id] = Removal(known, revision, now)
         return known
@@ -354,7 +398,8 @@
             if listed_by_handle.setdefault(server.handle, server) is not server:
                 continue
             is_withheld = self.provisional.is_withheld(server.server_id)
-            if not server.is_draining and not is_withheld:
+            is_evacuated = self.evacuations.is_evacuated(server.zone)
+            if not (server.is_draining or is_withheld or is_evacuated):
                 self._accepting_servers_by_service.setdefault(
                     server.service, []
                 ).append(server)
--- a/hornbeamdeal/dsr/_catalog_reader.py
+++ b/hornbeamdeal/dsr/_catalog_reader.py
@@ -88,6 +88,7 @@
         its flows are reset without waiting for it to register again.
         """
         now = self.clock.monotonic()
+        self._log_zones(now)
         for change, server in changes:
             if change == "removed":
                 if self.server_health.died_recently(server.server_id, now):
@@ -104,6 +105,19 @@
                 epoch=self.catalog.epoch,
             )
 
+    def _log_zones(self, now: float) -> None:
+        for zone in self.catalog.changed_zones:
+            state = self.catalog.evacuations.state_of(zone, now)
+            name = "zone_evacuated" if state.is_evacuated else "zone_returned"
+            self.journal.count("zone_changes", name)
+            self.journal.event(
+                name,
+                zone=zone,
+                revision=state.revision,
+                epoch=self.catalog.epoch,
+                unconfirmed_ms=round(1000 * state.remaining_seconds),
+            )
+
     def expire(self) -> None:
         """Remove or release provisional servers whose time is over."""
         self.handle_server_changes(self.catalog.expire(self.clock.monotonic()))
@@ -211,11 +225,16 @@
         base = (self.catalog.epoch, self.catalog.revision)
         previous = self.catalog.routes
         changes = self._apply(update)
+        changed_zones = self.catalog.changed_zones
         self.catalog.confirm(confirmed_at)
         new_changes = self._new_changes(update, base, previous, changes)
-        self.read_scheduler.record_answer(
-            not new_changes.is_empty, self.clock.monotonic()
-        )
+        now = self.clock.monotonic()
+        evacuations = self.catalog.evacuations
+        if self.catalog.epoch != base[0]:
+            # Peers forget the revisions of the epoch before, so they need all states.
+            changed_zones = set(changed_zones).union(evacuations.evacuated_zones)
+        new_changes.zones = [evacuations.state_of(zone, now) for zone in changed_zones]
+        self.read_scheduler.record_answer(not new_changes.is_empty, now)
         if self.peering is not None:
             self.peering.broadcast(new_changes, previous)
 
--- a/hornbeamdeal/dsr/_forwarder.py
+++ b/hornbeamdeal/dsr/_forwarder.py
@@ -2,11 +2,19 @@
 
 import random
 import zlib
-from typing import Any
 
+from ._admission import AdmitAll
 from ._arrival_bound import ArrivalBound
-from ._base import CallerPacket, Journal, PacketCodec, Transmit
+from ._base import (
+    Admission,
+    AnswerObserver,
+    CallerPacket,
+    Journal,
+    PacketCodec,
+    Transmit,
+)
 from ._catalog import Catalog
+from ._eligibility import Eligibility
 from ._flow_table import MINIMUM_RETRANSMISSION_SECONDS, Flow, FlowTable
 from ._link_queue import LinkQueue
 from ._outstanding_requests import OutstandingRequests
@@ -31,8 +39,11 @@
     """
 
     __slots__ = (
+        "admission",
+        "answer_observers",
         "catalog",
         "codec",
+        "eligibility",
         "server_health",
         "flows",
         "journal",
@@ -56,8 +67,14 @@
         outstanding: OutstandingRequests,
         placement: Placement,
         transmit: Transmit,
+        eligibility: Eligibility,
+        admission: Admission | None = None,
+        answer_observers: tuple[AnswerObserver, ...] = (),
         random_state: int | None = None,
     ):
+        self.admission = admission or AdmitAll()
+        self.answer_observers = answer_observers
+        self.eligibility = eligibility
         self.catalog = catalog
         self.codec = codec
         self.server_health = server_health
@@ -116,44 +133,6 @@
                 acknowledgement = flow.acknowledgement or 0
                 self._reset(flow_key, acknowledgement, server, "answer_awaited", now)
 
-    def explain(self, address_key: bytes, now: float) -> dict[str, Any]:
-        """Return how an opening packet for an address would be handled, and why."""
-        route = self.catalog.find_route(address_key)
-        if route is None:
-            is_fresh = self.catalog.age(now) < REFUSAL_MAXIMUM_CATALOG_AGE_SECONDS
-            verdict = "refused: no route" if is_fresh else "dropped: no route, old view"
-            return {"verdict": verdict, "servers": []}
-        services = route.weights_by_service
-        servers = [
-            s for s in self.catalog.servers_by_id.values() if s.service in services
-        ]
-        described = [self._describe_server(server, now) for server in servers]
-        usable = sum(server["state"] == "takes new flows" for server in described)
-        verdict = f"route {route.name}: {usable} of {len(described)} servers"
-        if not self._weights_in_use(route):
-            is_fresh = self.catalog.age(now) < REFUSAL_MAXIMUM_CATALOG_AGE_SECONDS
-            outcome = "refused" if is_fresh else "dropped, old view"
-            verdict = f"{outcome}: route {route.name} has no server for new flows"
-        return {"verdict": verdict, "servers": described}
-
-    def _describe_server(self, server: Server, now: float) -> dict[str, Any]:
-        state = "takes new flows"
-        if server.is_draining:
-            state = "draining"
-        elif self.catalog.provisional.is_withheld(server.server_id):
-            state = "withheld"
-        elif self.server_health.is_dead(server.server_id, now):
-            state = "dead"
-        elif self.server_health.is_out(server.server_id):
-            state = "out"
-        return {
-            "server": server.server_id,
-            "zone": server.zone,
-            "state": state,
-            "under_way": self.outstanding.count(server.server_id),
-            "alive_ms": self._progress_age_ms(server, now),
-        }
-
     def _handle_opening(
         self, packet: CallerPacket, now: float, arrived_at: float
     ) -> None:
@@ -183,17 +162,17 @@
         if flow.tried_servers:
             self._record_unanswered_opening(flow, packet, now)
         flow.last_copy_number = packet.copy_number
-        weights = self._weights_in_use(route)
-        service = self._pick_service(weights) if weights else ""
-        listed = self.catalog.accepting_servers(service)
-        untried = [server for server in listed if server not in flow.tried_servers]
-        usable = [s for s in untried if not self.server_health.is_out(s.server_id)]
-        candidates = usable or untried or listed
-        if not candidates:
-            self._refuse(packet, "no_server", now)
+        servers_by_service = self.eligibility.servers_by_service(route, now)
+        if not servers_by_service:
+            self._handle_unplaceable(packet, route, flow, now)
             return
+        permitted = servers_by_service[self._pick_service(route, servers_by_service)]
         if not flow.tried_servers:
-            self._send_trial(packet, listed, flow, now)
+            if not self.admission.admits(route, hash_caller(packet), now):
+                self._refuse(packet, "overload", now)
+                return
+            self._send_trial(packet, permitted, flow, now)
+        candidates = self.eligibility.prefer(permitted, flow.tried_servers, now)
         server = self.placement.choose(candidates, now)
         self.placement.record_placement(server, now)
         self.outstanding.start(flow, server, now)
@@ -210,7 +189,7 @@
             server=server.server_id,
             copy=packet.copy_number,
             candidates=len(candidates),
-            listed=len(listed),
+            permitted=len(permitted),
             version=self.catalog.routes.version,
             revision=self.catalog.revision,
             age_ms=round(1000 * self.catalog.age(now)),
@@ -240,33 +219,34 @@
         return round(1000 * (now - at)) if at > float("-inf") else -1
 
     def _send_trial(
-        self, packet: CallerPacket, listed: list[Server], flow: Flow, now: float
+        self, packet: CallerPacket, permitted: list[Server], flow: Flow, now: float
     ) -> None:
         """Send the packet also to a server that is out, if its trial is due."""
-        server = self.server_health.pick_trial_server(listed, now)
+        server = self.server_health.pick_trial_server(permitted, now)
         if server is not None:
             self._send_opening(packet, server, now)
             self.journal.count("flows_placed", "trial")
 
-    def _weights_in_use(self, route: Route) -> dict[str, float]:
-        """Return the weights of the route's services that take new flows.
+    def _handle_unplaceable(
+        self, packet: CallerPacket, route: Route, flow: Flow, now: float
+    ) -> None:
+        if flow.tried_servers:
+            # A server may have accepted an earlier copy, so a refusal could be untrue.
+            self.journal.count("openings_dropped", "tried_before")
+            return
+        self._refuse(packet, self.eligibility.missing_reason(route), now)
 
-        A service without such a server leaves its share to the others, since the
-        route allows each of them.
-        """
-        return {
-            service: weight
-            for service, weight in route.weights_by_service.items()
-            if weight and self.catalog.accepting_servers(service)
-        }
-
-    def _pick_service(self, weights: dict[str, float]) -> str:
-        if len(weights) == 1:
-            return next(iter(weights))
-        names = list(weights)
-        return self._random.choices(names, [weights[name] for name in names])[0]
+    def _pick_service(
+        self, route: Route, servers_by_service: dict[str, list[Server]]
+    ) -> str:
+        if len(servers_by_service) == 1:
+            return next(iter(servers_by_service))
+        names = list(servers_by_service)
+        weights = [route.weights_by_service[name] for name in names]
+        return self._random.choices(names, weights)[0]
 
     def _send_opening(self, packet: CallerPacket, server: Server, now: float) -> None:
+        self.eligibility.slow_start.record_opening(server, now)
         self._send(self.codec.write_handle(packet.data, server.handle), server, now)
 
     def _send(self, data: bytes, server: Server, now: float) -> None:
@@ -311,11 +291,15 @@
             # The first packet only shows that the server accepted the flow; the
             # request follows the handshake.
             if not is_new:
+                self._record_answer(caller_packet, flow, now)
                 self.outstanding.finish(flow)
         if caller_packet.is_ending:
             self.outstanding.finish(flow)
         if not caller_packet.payload_bytes:
             return
+        if is_new:
+            # The request follows the handshake, with which the server was counted.
+            flow.awaited_since = now
         self.outstanding.start(flow, server, now)
         departs_at = self.link_queue.departure(now)
         sent_at = flow.record_data(caller_packet, arrived_at, departs_at)
@@ -326,6 +310,15 @@
             )
             self.server_health.record_unanswered(server.server_id, packet, now)
 
+    def _record_answer(self, packet: CallerPacket, flow: Flow, now: float) -> None:
+        server = flow.awaited_server
+        route = self.catalog.find_route(packet.address_key)
+        # With data, the packet may be the next request, which comes after a pause.
+        if server is None or route is None or packet.payload_bytes:
+            return
+        for observer in self.answer_observers:
+            observer.record_answer(route, server, now - flow.awaited_since, now)
+
     def _adopt_flow(self, packet: CallerPacket, now: float) -> Flow:
         """Create the record of a flow opened elsewhere or dropped here when idle."""
         flow = self.flows.open(packet.flow_key, now)
--- a/hornbeamdeal/dsr/_news_codec.py
+++ b/hornbeamdeal/dsr/_news_codec.py
@@ -4,7 +4,7 @@
 
 from hornbeamdeal.wire import peer_types
 
-from ._records import Route, RouteTable, Server, Update
+from ._records import Route, RouteTable, Server, Service, Update, ZoneState
 
 FULL_COPY = -1
 NO_POSITION = -1
@@ -37,6 +37,7 @@
         base_epoch=update.base_epoch,
         withheld_ms={i: round(1000 * s) for i, s in update.withheld.items()},
         needs_exact_base=update.needs_exact_base,
+        zones=[_encode_zone(state) for state in update.zones],
     )
 
 
@@ -65,6 +66,25 @@
         routes=routes,
         withheld={i: ms / 1000 for i, ms in withheld_ms.items()},
         needs_exact_base=bool(message.needs_exact_base),
+        zones=[_decode_zone(state) for state in message.zones or ()],
+    )
+
+
+def _encode_zone(state: ZoneState) -> peer_types.ZoneState:
+    return peer_types.ZoneState(
+        zone=state.zone,
+        is_evacuated=state.is_evacuated,
+        revision=state.revision,
+        remaining_ms=round(1000 * state.remaining_seconds),
+    )
+
+
+def _decode_zone(message: Any) -> ZoneState:
+    return ZoneState(
+        message.zone,
+        message.is_evacuated,
+        message.revision,
+        (message.remaining_ms or 0) / 1000,
     )
 
 
@@ -79,6 +99,7 @@
         slots=server.slots,
         is_draining=server.is_draining,
         revision=server.revision,
+        cold_ms=round(1000 * server.cold_seconds),
     )
 
 
@@ -92,6 +113,7 @@
         slots=message.slots,
         is_draining=message.is_draining,
         revision=message.revision,
+        cold_seconds=(message.cold_ms or 0) / 1000,
     )
 
 
@@ -100,9 +122,9 @@
 ) -> peer_types.DirectRoutes:
     known = previous.routes_by_key if previous else {}
     changed = [
-        peer_types.DirectRoute(route.address_key, route.name, route.weights_by_service)
+        _encode_route(route)
         for key, route in routes.routes_by_key.items()
-        if key not in known or not _is_same(known[key], route)
+        if key not in known or not known[key].is_same(route)
     ]
     return peer_types.DirectRoutes(
         version=routes.version,
@@ -110,6 +132,34 @@
         routes=changed,
         removed_keys=[key for key in known if key not in routes.routes_by_key],
         idle_timeout_ms=round(1000 * routes.idle_timeout),
+        services=[
+            peer_types.DirectService(
+                name=service.name,
+                cold_start_ms=round(1000 * service.cold_start_seconds),
+                cold_per_s=service.cold_requests_per_second,
+            )
+            for service in routes.services_by_name.values()
+        ],
+    )
+
+
+def _encode_route(route: Route) -> peer_types.DirectRoute:
+    return peer_types.DirectRoute(
+        address_key=route.address_key,
+        name=route.name,
+        weights_by_service=route.weights_by_service,
+        kind=route.kind,
+        priority=route.priority,
+        aim_ms=round(1000 * route.aim_seconds),
+        timeout_ms=round(1000 * route.timeout_seconds),
+    )
+
+
+def _decode_service(message: Any) -> Service:
+    return Service(
+        name=message.name,
+        cold_start_seconds=message.cold_start_ms / 1000,
+        cold_requests_per_second=message.cold_per_s,
     )
 
 
@@ -128,13 +178,14 @@
             address_key=route.address_key,
             name=route.name,
             weights_by_service=dict(route.weights_by_service),
+            kind=route.kind or "",
+            priority=route.priority or 0,
+            aim_seconds=(route.aim_ms or 0) / 1000,
+            timeout_seconds=(route.timeout_ms or 0) / 1000,
         )
     return RouteTable(
         version=message.version,
         routes_by_key=routes_by_key,
         idle_timeout=message.idle_timeout_ms / 1000,
+        services_by_name={s.name: _decode_service(s) for s in message.services or ()},
     )
-
-
-def _is_same(one: Route, other: Route) -> bool:
-    return one.name == other.name and one.weights_by_service == other.weights_by_service
--- a/hornbeamdeal/dsr/_peer_sync.py
+++ b/hornbeamdeal/dsr/_peer_sync.py
@@ -23,6 +23,7 @@
 from ._records import RouteTable, Update
 from ._relays import NO_GROUPS, UpdateRelays
 from ._server_health import UNANSWERED_WINDOW_SECONDS, ServerHealth, UnansweredPacket
+from ._slow_start import SlowStart
 
 # Minimum interval between requests for a missing part of the catalog; an answer
 # takes a few milliseconds.
@@ -57,6 +58,7 @@
         "on_server_changes",
         "queries_at_start",
         "relays",
+        "slow_start",
         "_is_query_due",
         "_receivers_by_group_count",
         "_peers",
@@ -75,6 +77,7 @@
         make_membership: Callable[[int], Membership],
         on_server_changes: Callable[[list[tuple[str, Any]]], None],
         relays: UpdateRelays | None = None,
+        slow_start: SlowStart | None = None,
         queries_at_start: bool = True,
         random_state: int | None = None,
     ):
@@ -87,6 +90,7 @@
         self.on_server_changes = on_server_changes
         self.queries_at_start = queries_at_start
         self.relays = relays or UpdateRelays()
+        self.slow_start = slow_start
         self._peers: list[EntryHost] = []
         self._receivers_by_group_count: dict[int, list[EntryHost]] = {}
         self._is_query_due = queries_at_start
@@ -99,9 +103,9 @@
         actions = self.membership.tick(now)
         if self.membership.superseded_:
             self.membership = self._rejoin()
-            self._update_peers()
+            self._update_peers(now)
         elif any(isinstance(action, RebuildView) for action in actions):
-            self._update_peers()
+            self._update_peers(now)
         if not self.catalog.is_complete and self._peers:
             # The store may be unavailable while this host starts.
             actions += self._request_catalog(
@@ -164,7 +168,7 @@
         self.journal.event("rejoining", attempt=self._rejoins)
         return self.make_membership(self._rejoins)
 
-    def _update_peers(self) -> None:
+    def _update_peers(self, now: float) -> None:
         members = self.membership.members_.values()
         own_id = self.membership.own.host_id
         self._peers = [
@@ -173,9 +177,12 @@
             if host.host_id != own_id and host.state in PEER_STATES
         ]
         self._receivers_by_group_count = self.relays.receivers(self._peers)
-        order, elected_count = reader_order(
-            [host for host in members if host.state in READER_STATES]
-        )
+        staying = [host for host in members if host.state in READER_STATES]
+        if self.slow_start is not None:
+            zone = self.membership.own.zone
+            zone_hosts = {host.host_id for host in staying if host.zone == zone}
+            self.slow_start.set_zone_hosts(zone_hosts | {own_id}, now)
+        order, elected_count = reader_order(staying)
         if own_id in order:
             self.read_scheduler.position = order.index(own_id)
             self.read_scheduler.is_elected_reader = (
@@ -195,7 +202,7 @@
             self.read_scheduler.record_peer_update(position, age, now)
         else:
             self.journal.count("catalog_news_outdated")
-        if changes or update.routes is not None:
+        if changes or self.catalog.changed_zones or update.routes is not None:
             self.journal.event(
                 "news_applied",
                 sender=str(sender),
@@ -239,7 +246,7 @@
         if request.only_if_newer and not self._knows_more(request):
             return []
         message = encode_news(
-            self.catalog.as_update(),
+            self.catalog.as_update(now),
             age=self.catalog.age(now),
             position=self.read_scheduler.position,
             previous_routes=None,
@@ -257,6 +264,7 @@
             catalog.epoch > (request.epoch or 0)
             or catalog.routes.version > (request.version or 0)
             or not catalog.provisional.is_empty
+            or catalog.evacuations.has_unconfirmed
         )
 
     def _report_unanswered(self, now: float) -> list[Any]:
--- a/hornbeamdeal/dsr/_records.py
+++ b/hornbeamdeal/dsr/_records.py
@@ -19,11 +19,13 @@
 
     `number` identifies the server in the encapsulation, so that another server that
     took over its address drops the packet. `revision` is the store's revision of
-    the entry's last change.
+    the entry's last change. `cold_seconds` is for how much longer the server was slow
+    after its start when it wrote the entry.
     """
 
     __slots__ = (
         "address",
+        "cold_seconds",
         "handle",
         "is_draining",
         "number",
@@ -45,7 +47,9 @@
         slots: int,
         is_draining: bool,
         revision: int = 0,
+        cold_seconds: float = 0.0,
     ):
+        self.cold_seconds = cold_seconds
         self.server_id = server_id
         self.number = number
         self.service = service
@@ -68,16 +72,88 @@
 
 
 class Route:
-    """Weighted services for new flows to one service address."""
+    """Weighted services for new flows to one service address, and callers' needs.
 
-    __slots__ = ("address_key", "name", "weights_by_service")
+    `kind` is one of "safe", "unsafe", "upload", "download" or empty if not told.
+    Callers want an answer within `aim_seconds` and give up after `timeout_seconds`, 0 if
+    not told. A `priority` of 0 is the highest.
+    """
+
+    __slots__ = (
+        "address_key",
+        "aim_seconds",
+        "kind",
+        "name",
+        "priority",
+        "timeout_seconds",
+        "weights_by_service",
+    )
 
     def __init__(
-        self, *, address_key: bytes, name: str, weights_by_service: dict[str, float]
+        self,
+        *,
+        address_key: bytes,
+        name: str,
+        weights_by_service: dict[str, float],
+        kind: str = "",
+        priority: int = 0,
+        aim_seconds: float = 0.0,
+        timeout_seconds: float = 0.0,
     ):
         self.address_key = address_key
         self.name = name
         self.weights_by_service = weights_by_service
+        self.kind = kind
+        self.priority = priority
+        self.aim_seconds = aim_seconds
+        self.timeout_seconds = timeout_seconds
+
+    def is_same(self, other: "Route") -> bool:
+        """Return whether both are equal in all fields."""
+        return all(getattr(self, n) == getattr(other, n) for n in self.__slots__)
+
+
+class Service:
+    """Properties of a service that all its servers share.
+
+    A server is cold for `cold_start_seconds` after its start and then bears
+    `cold_requests_per_second`.
+    """
+
+    __slots__ = ("cold_requests_per_second", "cold_start_seconds", "name")
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        cold_start_seconds: float = 0.0,
+        cold_requests_per_second: float = 0.0,
+    ):
+        self.name = name
+        self.cold_start_seconds = cold_start_seconds
+        self.cold_requests_per_second = cold_requests_per_second
+
+
+class ZoneState:
+    """Whether a zone is evacuated, by the store's revision that says so.
+
+    `remaining_seconds` is how much longer an unconfirmed evacuation, one of
+    `NO_REVISION`, is in force.
+    """
+
+    __slots__ = ("is_evacuated", "remaining_seconds", "revision", "zone")
+
+    def __init__(
+        self,
+        zone: str,
+        is_evacuated: bool,
+        revision: int,
+        remaining_seconds: float = 0.0,
+    ):
+        self.zone = zone
+        self.is_evacuated = is_evacuated
+        self.revision = revision
+        self.remaining_seconds = remaining_seconds
 
 
 class RouteTable:
@@ -86,14 +162,20 @@
     `idle_timeout` is in seconds; the record of a flow idle for longer is dropped.
     """
 
-    __slots__ = ("idle_timeout", "routes_by_key", "version")
+    __slots__ = ("idle_timeout", "routes_by_key", "services_by_name", "version")
 
     def __init__(
-        self, *, version: int, routes_by_key: dict[bytes, Route], idle_timeout: float
+        self,
+        *,
+        version: int,
+        routes_by_key: dict[bytes, Route],
+        idle_timeout: float,
+        services_by_name: dict[str, Service] | None = None,
     ):
         self.version = version
         self.routes_by_key = routes_by_key
         self.idle_timeout = idle_timeout
+        self.services_by_name = services_by_name or {}
 
 
 class Update:
@@ -107,6 +189,7 @@
     by server id. `withheld` holds for how many more seconds listed servers get no new
     flows. `routes` is None if the configuration is unchanged. `needs_exact_base` is set
     if a server that a later base lists may have left without being in `removed`.
+    `zones` holds changed states of zones, in a full copy all evacuated ones.
     """
 
     __slots__ = (
@@ -119,6 +202,7 @@
         "routes",
         "servers",
         "withheld",
+        "zones",
     )
 
     def __init__(
@@ -133,6 +217,7 @@
         routes: RouteTable | None = None,
         withheld: dict[str, float] | None = None,
         needs_exact_base: bool = False,
+        zones: list[ZoneState] = (),
     ):
         self.base_epoch = epoch if base_epoch is None else base_epoch
         self.base_revision = base_revision
@@ -143,8 +228,10 @@
         self.routes = routes
         self.withheld = withheld or {}
         self.needs_exact_base = needs_exact_base
+        self.zones = zones
 
     @property
     def is_empty(self) -> bool:
         """Return whether the update changes nothing but the revision."""
-        return not self.servers and not self.removed and self.routes is None
+        has_states = self.servers or self.removed or self.zones
+        return not has_states and self.routes is None
--- a/hornbeamdeal/platform/_assembly.py
+++ b/hornbeamdeal/platform/_assembly.py
@@ -7,6 +7,7 @@
 
 from hornbeamdeal.dsr import (
     Catalog,
+    Eligibility,
     FlowTable,
     Forwarder,
     Journal,
@@ -15,6 +16,7 @@
     PacketSender,
     ReadScheduler,
     ServerHealth,
+    SlowStart,
     make_placement,
 )
 from hornbeamdeal.kernel import Clock, Endpoint
@@ -51,13 +53,25 @@
         zone=settings.zone,
         random_state=random_state,
     )
+    catalog = Catalog(
+        flow_lifetime=settings.flow_lifetime_seconds,
+        entry_lifetime=settings.entry_lifetime_seconds,
+    )
+    server_health = ServerHealth()
+    slow_start = SlowStart(
+        catalog=catalog,
+        host_id=settings.host_id,
+        zone=settings.zone,
+        overage=settings.cold_overage,
+        slack=settings.cold_slack or 0.0,
+    )
     return Forwarder(
-        catalog=Catalog(
-            flow_lifetime=settings.flow_lifetime_seconds,
-            entry_lifetime=settings.entry_lifetime_seconds,
+        catalog=catalog,
+        eligibility=Eligibility(
+            catalog=catalog, server_health=server_health, slow_start=slow_start
         ),
         codec=EchoPacketCodec(caller_port=settings.packet_listen.port),
-        server_health=ServerHealth(),
+        server_health=server_health,
         flows=FlowTable(),
         journal=journal,
         link_queue=LinkQueue(link_mbps=settings.link_mbps),
@@ -86,7 +100,7 @@
         clock=clock,
         catalog=forwarder.catalog,
         read_scheduler=ReadScheduler(
-            freshness=min(settings.config_apply_seconds, settings.drain_seconds),
+            freshness=settings.freshness_seconds,
             random_state=random.getrandbits(32),
         ),
         server_health=forwarder.server_health,
@@ -134,6 +148,7 @@
         journal=node.journal,
         make_membership=make_membership,
         on_server_changes=node.reader.handle_server_changes,
+        slow_start=node.forwarder.eligibility.slow_start,
         queries_at_start=not settings.is_first_start,
     )
     codec = PeerCodec(
--- a/hornbeamdeal/platform/_entries.py
+++ b/hornbeamdeal/platform/_entries.py
@@ -4,18 +4,21 @@
 import math
 from typing import Any
 
-from hornbeamdeal.dsr import Route, RouteTable, Server
+from hornbeamdeal.dsr import Route, RouteTable, Server, Service
 from hornbeamdeal.kernel import HornbeamdealError
 
 from ._packets import encode_address
 
 SERVER_PREFIX = "servers/"
 CONFIG_KEY = "op/config"
+# One key for each evacuated zone, which follows the prefix.
+EVACUATION_PREFIX = "op/evacuate/"
 SERVER_NUMBER_BYTES = 8
 # Messages between hosts carry integers of 32 and 64 bits.
 MAXIMUM_SLOTS = 2**31 - 1
 MAXIMUM_VERSION = 2**63 - 1
-MAXIMUM_IDLE_MILLISECONDS = 2**31 - 1
+MAXIMUM_MILLISECONDS = 2**31 - 1
+MAXIMUM_PRIORITY = 2**31 - 1
 # What decoding a value of an unknown writer raises if a field is missing or invalid.
 # Deeply nested arrays exceed the parser's recursion limit.
 _VALUE_ERRORS = (
@@ -52,6 +55,8 @@
             slots=_check_integer(fields["slots"], MAXIMUM_SLOTS),
             is_draining=_DRAINING_BY_STATE[_check_text(fields["state"])],
             revision=revision,
+            # Not written on platforms without cold servers.
+            cold_seconds=_seconds(fields.get("cold_remaining_ms", 0)),
         )
     except _VALUE_ERRORS as error:
         raise EntryError(f"entry of {server_id!r}: {error!r}") from error
@@ -63,10 +68,12 @@
         fields = json.loads(value)
         idle_ms = fields["limits"]["idle_timeout_ms"]
         routes = [_decode_route(route) for route in fields["routes"]]
+        services = [_decode_service(s) for s in fields.get("services") or ()]
         return RouteTable(
             version=_check_integer(fields["version"], MAXIMUM_VERSION),
             routes_by_key={route.address_key: route for route in routes},
-            idle_timeout=_check_integer(idle_ms, MAXIMUM_IDLE_MILLISECONDS) / 1000,
+            idle_timeout=_check_integer(idle_ms, MAXIMUM_MILLISECONDS) / 1000,
+            services_by_name={service.name: service for service in services},
         )
     except _VALUE_ERRORS as error:
         raise EntryError(f"configuration: {error!r}") from error
@@ -86,9 +93,37 @@
         weights_by_service=_check_weights(
             {_check_text(s["service"]): float(s["weight"]) for s in weighted_services}
         ),
+        kind=_check_text(fields.get("type", "unsafe")),
+        priority=_check_integer(fields.get("priority", 0), MAXIMUM_PRIORITY),
+        aim_seconds=_seconds(fields.get("aim_ms", 0)),
+        timeout_seconds=_seconds(fields.get("timeout_ms", 0)),
     )
 
 
+def _decode_service(fields: dict[str, Any]) -> Service:
+    # `cold_start_s` is how long a server is cold after its start, `cold_per_s` how many
+    # requests a second it then bears.
+    return Service(
+        name=_check_text(fields["name"]),
+        cold_start_seconds=_check_number(fields.get("cold_start_s", 0)),
+        cold_requests_per_second=_check_number(fields.get("cold_per_s", 0)),
+    )
+
+
+def decode_evacuated_zone(key: str) -> str:
+    """Return the zone that an evacuation's key names; raise EntryError if none.
+
+    The key alone is the request, its value says nothing more.
+    """
+    try:
+        zone = _check_text(key.removeprefix(EVACUATION_PREFIX))
+    except _VALUE_ERRORS as error:
+        raise EntryError(f"evacuation {key!r}: {error!r}") from error
+    if "/" in zone:
+        raise EntryError(f"evacuation {key!r}: {zone!r} is not the name of a zone")
+    return zone
+
+
 def _encode_server_number(server_id: str) -> bytes:
     """Return the server number of the encapsulation: the hex digits of the id's end."""
     digits = "".join(c for c in server_id.rpartition("-")[2] if c in _HEX_DIGITS)
@@ -120,6 +155,18 @@
     return value
 
 
+def _check_number(value: Any) -> float:
+    if not isinstance(value, int | float) or isinstance(value, bool):
+        raise TypeError(f"{value!r} is not a number")
+    if not 0 <= value <= MAXIMUM_MILLISECONDS:
+        raise ValueError(f"{value!r} is not within 0 and {MAXIMUM_MILLISECONDS}")
+    return float(value)
+
+
+def _seconds(milliseconds: Any) -> float:
+    return _check_number(milliseconds) / 1000
+
+
 def _check_weights(weights_by_service: dict[str, float]) -> dict[str, float]:
     weights = weights_by_service.values()
     if not all(math.isfinite(weight) and weight >= 0 for weight in weights):
--- a/hornbeamdeal/platform/_pages.py
+++ b/hornbeamdeal/platform/_pages.py
@@ -3,7 +3,7 @@
 import json
 from typing import Any
 
-from hornbeamdeal.dsr import Node
+from hornbeamdeal.dsr import Node, explain_opening
 from hornbeamdeal.wire import HttpRequest, HttpResponse
 
 from ._packets import encode_address
@@ -47,7 +47,7 @@
         except ValueError:
             return _json(400, {"error": "give address as ip:port"})
         now = self.node.clock.monotonic()
-        return _json(200, self.node.forwarder.explain(address_key, now))
+        return _json(200, explain_opening(self.node.forwarder, address_key, now))
 
     def status(self) -> dict[str, Any]:
         """Return the state of this host's catalog, store reads and flows."""
@@ -66,14 +66,35 @@
             "reader_position": node.read_scheduler.position,
             "servers": len(catalog.servers_by_id),
             "servers_out": out,
+            "servers_cold": self._cold_servers(now),
+            "zones_evacuated": self._evacuated_zones(now),
             "flows": len(node.forwarder.flows.flows_by_key),
         }
 
+    def _cold_servers(self, now: float) -> list[str]:
+        slow_start = self.node.forwarder.eligibility.slow_start
+        servers = self.node.catalog.servers_by_id.values()
+        return [s.server_id for s in servers if slow_start.is_cold(s, now)]
+
+    def _evacuated_zones(self, now: float) -> list[dict[str, Any]]:
+        evacuations = self.node.catalog.evacuations
+        return [
+            {
+                "zone": zone,
+                "revision": evacuations.records_by_zone[zone].revision,
+                "since_ms": round(
+                    1000 * (now - evacuations.records_by_zone[zone].learned_at)
+                ),
+            }
+            for zone in evacuations.evacuated_zones
+        ]
+
     def _gauges(self) -> dict[str, float]:
         status = self.status()
         names = ("version", "epoch", "revision", "age_ms", "servers", "flows")
         gauges = {name: float(status[name]) for name in names}
-        gauges["servers_out"] = float(len(status["servers_out"]))
+        for name in ("servers_out", "servers_cold", "zones_evacuated"):
+            gauges[name] = float(len(status[name]))
         gauges["reads_the_store"] = float(status["reads_the_store"])
         return gauges
 
--- a/hornbeamdeal/platform/_settings.py
+++ b/hornbeamdeal/platform/_settings.py
@@ -29,13 +29,18 @@
     operators' pages. `link_mbps` is the bandwidth of the machine's network link in
     Mbit/s. `is_first_start` is set at the first start of the whole system. The names
     are logged when the settings are reloaded. `entry_lifetime_seconds` is the time
-    after which the store drops the entry of a silent server.
+    after which the store drops the entry of a silent server. `cold_overage` and
+    `cold_slack` bound the new flows of cold servers, None if nothing bounds them;
+    `evacuation_seconds` is infinite if there is no bound.
     """
 
     __slots__ = (
+        "cold_overage",
+        "cold_slack",
         "config_apply_seconds",
         "drain_seconds",
         "entry_lifetime_seconds",
+        "evacuation_seconds",
         "flow_lifetime_seconds",
         "host_id",
         "ip",
@@ -55,6 +60,13 @@
         for name in self.__slots__:
             setattr(self, name, values[name])
 
+    @property
+    def freshness_seconds(self) -> float:
+        """Return the time within which a change must be in force on every host."""
+        return min(
+            self.config_apply_seconds, self.drain_seconds, self.evacuation_seconds
+        )
+
     def differences(self, other: "NodeSettings") -> dict[str, str]:
         """Return the settings that differ, as `old -> new` by name, for logs."""
         pairs = {n: (getattr(self, n), getattr(other, n)) for n in self.__slots__}
@@ -103,6 +115,11 @@
         "drain_seconds": reader.number("bounds", "drain_ms") / 1000,
         # Servers write their entries every `heartbeat_ms`.
         "entry_lifetime_seconds": LAPSE_HEARTBEATS * reader.heartbeat_seconds(),
+        "cold_overage": reader.optional_number("bounds", "cold_overage"),
+        "cold_slack": reader.optional_number("bounds", "cold_slack"),
+        "evacuation_seconds": _seconds_or_infinite(
+            reader.optional_number("bounds", "evacuation_ms")
+        ),
         # `grace_s` is the time limit of a graceful stop.
         "stop_seconds": reader.number("bounds", "grace_s"),
         "flow_lifetime_seconds": reader.number("bounds", "flow_lifetime_s"),
@@ -112,6 +129,10 @@
     return NodeSettings(**values)
 
 
+def _seconds_or_infinite(milliseconds: float | None) -> float:
+    return float("inf") if milliseconds is None else milliseconds / 1000
+
+
 def _internal_port(reader: "_FieldReader", ports: Any, index: int) -> int:
     if isinstance(ports, list) and ports and isinstance(ports[index], int):
         return ports[index]
@@ -147,6 +168,16 @@
         self.problems.append(f"{parent}.{name} must be a number")
         return 0.0
 
+    def optional_number(self, parent: str, name: str) -> float | None:
+        """Return a number of a table, None if it is not there.
+
+        Record a problem if it is invalid.
+        """
+        fields = self.fields.get(parent)
+        if not isinstance(fields, dict) or fields.get(name) is None:
+            return None
+        return self.number(parent, name)
+
     def heartbeat_seconds(self) -> float:
         """Return the interval in which servers write their entries."""
         value = self.fields.get("heartbeat_ms")
--- a/hornbeamdeal/platform/_startup.py
+++ b/hornbeamdeal/platform/_startup.py
@@ -28,8 +28,7 @@
 
 def reload_interval(settings: NodeSettings) -> float:
     """Return the seconds between two reads of the catalog during a long start."""
-    limit = min(settings.config_apply_seconds, settings.drain_seconds)
-    return RELOAD_SHARE * limit
+    return RELOAD_SHARE * settings.freshness_seconds
 
 
 def load_first_catalog(load: Callable[[bool], str], is_first_start: bool) -> None:
--- a/hornbeamdeal/platform/_store.py
+++ b/hornbeamdeal/platform/_store.py
@@ -5,13 +5,15 @@
 from typing import Any, Protocol
 from urllib.parse import urlencode
 
-from hornbeamdeal.dsr import Journal, Server, SourceError, Update
+from hornbeamdeal.dsr import Journal, Server, SourceError, Update, ZoneState
 from hornbeamdeal.wire import HttpError, HttpResponse
 
 from ._entries import (
     CONFIG_KEY,
+    EVACUATION_PREFIX,
     SERVER_PREFIX,
     EntryError,
+    decode_evacuated_zone,
     decode_routes,
     decode_server,
 )
@@ -160,6 +162,7 @@
             epoch=self.epoch_ or 0,
             revision=revision,
             servers=[],
+            zones=[],
         )
         servers_by_id: dict[str, Server] = {}
         try:
@@ -178,6 +181,9 @@
             if not item.get("deleted"):
                 self._apply_routes(update, b64decode(item["value"]), revision)
             return
+        if key.startswith(EVACUATION_PREFIX):
+            self._apply_evacuation(update, item)
+            return
         if not key.startswith(SERVER_PREFIX):
             return
         server_id = key.removeprefix(SERVER_PREFIX)
@@ -197,6 +203,15 @@
         except EntryError as error:
             self._report_unusable(CONFIG_KEY, revision, str(error))
 
+    def _apply_evacuation(self, update: Update, item: dict[str, Any]) -> None:
+        key, revision = item["key"], item["revision"]
+        try:
+            zone = decode_evacuated_zone(key)
+        except EntryError as error:
+            self._report_unusable(key, revision, str(error))
+            return
+        update.zones.append(ZoneState(zone, not item.get("deleted"), revision))
+
     def _decode_item(self, server_id: str, item: dict[str, Any]) -> Server | None:
         revision = item["revision"]
         try:
--- a/hornbeamdeal/wire/_generated/peer/ttypes.py
+++ b/hornbeamdeal/wire/_generated/peer/ttypes.py
@@ -1993,6 +1993,7 @@
      - slots
      - is_draining
      - revision
+     - cold_ms
 
     """
 
@@ -2006,10 +2007,11 @@
         'slots',
         'is_draining',
         'revision',
+        'cold_ms',
     )
 
 
-    def __init__(self, server_id=None, number=None, service_name=None, ip=None, port=None, zone=None, slots=None, is_draining=None, revision=None,):
+    def __init__(self, server_id=None, number=None, service_name=None, ip=None, port=None, zone=None, slots=None, is_draining=None, revision=None, cold_ms=None,):
         self.server_id = server_id
         self.number = number
         self.service_name = service_name
@@ -2019,6 +2021,7 @@
         self.slots = slots
         self.is_draining = is_draining
         self.revision = revision
+        self.cold_ms = cold_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2074,6 +2077,11 @@
                     self.revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.cold_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2120,6 +2128,10 @@
             oprot.writeFieldBegin('revision', TType.I64, 9)
             oprot.writeI64(self.revision)
             oprot.writeFieldEnd()
+        if self.cold_ms is not None:
+            oprot.writeFieldBegin('cold_ms', TType.I64, 10)
+            oprot.writeI64(self.cold_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2151,6 +2163,10 @@
      - address_key
      - name
      - weights_by_service
+     - kind
+     - priority
+     - aim_ms
+     - timeout_ms
 
     """
 
@@ -2158,13 +2174,21 @@
         'address_key',
         'name',
         'weights_by_service',
+        'kind',
+        'priority',
+        'aim_ms',
+        'timeout_ms',
     )
 
 
-    def __init__(self, address_key=None, name=None, weights_by_service=None,):
+    def __init__(self, address_key=None, name=None, weights_by_service=None, kind=None, priority=None, aim_ms=None, timeout_ms=None,):
         self.address_key = address_key
         self.name = name
         self.weights_by_service = weights_by_service
+        self.kind = kind
+        self.priority = priority
+        self.aim_ms = aim_ms
+        self.timeout_ms = timeout_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2196,6 +2220,26 @@
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.kind = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.priority = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.aim_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.timeout_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2222,6 +2266,114 @@
                 oprot.writeDouble(viter92)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
+        if self.kind is not None:
+            oprot.writeFieldBegin('kind', TType.STRING, 4)
+            oprot.writeString(self.kind.encode('utf-8') if sys.version_info[0] == 2 else self.kind)
+            oprot.writeFieldEnd()
+        if self.priority is not None:
+            oprot.writeFieldBegin('priority', TType.I32, 5)
+            oprot.writeI32(self.priority)
+            oprot.writeFieldEnd()
+        if self.aim_ms is not None:
+            oprot.writeFieldBegin('aim_ms', TType.I64, 6)
+            oprot.writeI64(self.aim_ms)
+            oprot.writeFieldEnd()
+        if self.timeout_ms is not None:
+            oprot.writeFieldBegin('timeout_ms', TType.I64, 7)
+            oprot.writeI64(self.timeout_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class DirectService(object):
+    """
+    Attributes:
+     - name
+     - cold_start_ms
+     - cold_per_s
+
+    """
+
+    __slots__ = (
+        'name',
+        'cold_start_ms',
+        'cold_per_s',
+    )
+
+
+    def __init__(self, name=None, cold_start_ms=None, cold_per_s=None,):
+        self.name = name
+        self.cold_start_ms = cold_start_ms
+        self.cold_per_s = cold_per_s
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.cold_start_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.cold_per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('DirectService')
+        if self.name is not None:
+            oprot.writeFieldBegin('name', TType.STRING, 1)
+            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
+            oprot.writeFieldEnd()
+        if self.cold_start_ms is not None:
+            oprot.writeFieldBegin('cold_start_ms', TType.I64, 2)
+            oprot.writeI64(self.cold_start_ms)
+            oprot.writeFieldEnd()
+        if self.cold_per_s is not None:
+            oprot.writeFieldBegin('cold_per_s', TType.DOUBLE, 3)
+            oprot.writeDouble(self.cold_per_s)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2255,6 +2407,7 @@
      - routes
      - removed_keys
      - idle_timeout_ms
+     - services
 
     """
 
@@ -2264,15 +2417,17 @@
         'routes',
         'removed_keys',
         'idle_timeout_ms',
+        'services',
     )
 
 
-    def __init__(self, version=None, base_version=None, routes=None, removed_keys=None, idle_timeout_ms=None,):
+    def __init__(self, version=None, base_version=None, routes=None, removed_keys=None, idle_timeout_ms=None, services=None,):
         self.version = version
         self.base_version = base_version
         self.routes = routes
         self.removed_keys = removed_keys
         self.idle_timeout_ms = idle_timeout_ms
+        self.services = services
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2319,6 +2474,17 @@
                     self.idle_timeout_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.services = []
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = DirectService()
+                        _elem110.read(iprot)
+                        self.services.append(_elem110)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2340,21 +2506,132 @@
         if self.routes is not None:
             oprot.writeFieldBegin('routes', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.routes))
-            for iter105 in self.routes:
-                iter105.write(oprot)
+            for iter111 in self.routes:
+                iter111.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.removed_keys is not None:
             oprot.writeFieldBegin('removed_keys', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.removed_keys))
-            for iter106 in self.removed_keys:
-                oprot.writeBinary(iter106)
+            for iter112 in self.removed_keys:
+                oprot.writeBinary(iter112)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.idle_timeout_ms is not None:
             oprot.writeFieldBegin('idle_timeout_ms', TType.I64, 5)
             oprot.writeI64(self.idle_timeout_ms)
             oprot.writeFieldEnd()
+        if self.services is not None:
+            oprot.writeFieldBegin('services', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.services))
+            for iter113 in self.services:
+                iter113.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ZoneState(object):
+    """
+    Attributes:
+     - zone
+     - is_evacuated
+     - revision
+     - remaining_ms
+
+    """
+
+    __slots__ = (
+        'zone',
+        'is_evacuated',
+        'revision',
+        'remaining_ms',
+    )
+
+
+    def __init__(self, zone=None, is_evacuated=None, revision=None, remaining_ms=None,):
+        self.zone = zone
+        self.is_evacuated = is_evacuated
+        self.revision = revision
+        self.remaining_ms = remaining_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.is_evacuated = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.remaining_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ZoneState')
+        if self.zone is not None:
+            oprot.writeFieldBegin('zone', TType.STRING, 1)
+            oprot.writeString(self.zone.encode('utf-8') if sys.version_info[0] == 2 else self.zone)
+            oprot.writeFieldEnd()
+        if self.is_evacuated is not None:
+            oprot.writeFieldBegin('is_evacuated', TType.BOOL, 2)
+            oprot.writeBool(self.is_evacuated)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 3)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.remaining_ms is not None:
+            oprot.writeFieldBegin('remaining_ms', TType.I64, 4)
+            oprot.writeI64(self.remaining_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2395,6 +2672,7 @@
      - base_epoch
      - withheld_ms
      - needs_exact_base
+     - zones
 
     """
 
@@ -2411,10 +2689,11 @@
         'base_epoch',
         'withheld_ms',
         'needs_exact_base',
+        'zones',
     )
 
 
-    def __init__(self, base_revision=None, revision=None, age_ms=None, position=None, servers=None, removed=None, routes=None, relay_groups=None, epoch=None, base_epoch=None, withheld_ms=None, needs_exact_base=None,):
+    def __init__(self, base_revision=None, revision=None, age_ms=None, position=None, servers=None, removed=None, routes=None, relay_groups=None, epoch=None, base_epoch=None, withheld_ms=None, needs_exact_base=None, zones=None,):
         self.base_revision = base_revision
         self.revision = revision
         self.age_ms = age_ms
@@ -2427,6 +2706,7 @@
         self.base_epoch = base_epoch
         self.withheld_ms = withheld_ms
         self.needs_exact_base = needs_exact_base
+        self.zones = zones
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2460,22 +2740,22 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.servers = []
-                    (_etype110, _size107) = iprot.readListBegin()
-                    for _i111 in range(_size107):
-                        _elem112 = DirectServer()
-                        _elem112.read(iprot)
-                        self.servers.append(_elem112)
+                    (_etype117, _size114) = iprot.readListBegin()
+                    for _i118 in range(_size114):
+                        _elem119 = DirectServer()
+                        _elem119.read(iprot)
+                        self.servers.append(_elem119)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.MAP:
                     self.removed = {}
-                    (_ktype114, _vtype115, _size113) = iprot.readMapBegin()
-                    for _i117 in range(_size113):
-                        _key118 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val119 = iprot.readI64()
-                        self.removed[_key118] = _val119
+                    (_ktype121, _vtype122, _size120) = iprot.readMapBegin()
+                    for _i124 in range(_size120):
+                        _key125 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val126 = iprot.readI64()
+                        self.removed[_key125] = _val126
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2503,11 +2783,11 @@
             elif fid == 11:
                 if ftype == TType.MAP:
                     self.withheld_ms = {}
-                    (_ktype121, _vtype122, _size120) = iprot.readMapBegin()
-                    for _i124 in range(_size120):
-                        _key125 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val126 = iprot.readI64()
-                        self.withheld_ms[_key125] = _val126
+                    (_ktype128, _vtype129, _size127) = iprot.readMapBegin()
+                    for _i131 in range(_size127):
+                        _key132 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val133 = iprot.readI64()
+                        self.withheld_ms[_key132] = _val133
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2516,6 +2796,17 @@
                     self.needs_exact_base = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.LIST:
+                    self.zones = []
+                    (_etype137, _size134) = iprot.readListBegin()
+                    for _i138 in range(_size134):
+                        _elem139 = ZoneState()
+                        _elem139.read(iprot)
+                        self.zones.append(_elem139)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2545,16 +2836,16 @@
         if self.servers is not None:
             oprot.writeFieldBegin('servers', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.servers))
-            for iter127 in self.servers:
-                iter127.write(oprot)
+            for iter140 in self.servers:
+                iter140.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.removed is not None:
             oprot.writeFieldBegin('removed', TType.MAP, 6)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.removed))
-            for kiter128, viter129 in self.removed.items():
-                oprot.writeString(kiter128.encode('utf-8') if sys.version_info[0] == 2 else kiter128)
-                oprot.writeI64(viter129)
+            for kiter141, viter142 in self.removed.items():
+                oprot.writeString(kiter141.encode('utf-8') if sys.version_info[0] == 2 else kiter141)
+                oprot.writeI64(viter142)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.routes is not None:
@@ -2576,15 +2867,22 @@
         if self.withheld_ms is not None:
             oprot.writeFieldBegin('withheld_ms', TType.MAP, 11)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.withheld_ms))
-            for kiter130, viter131 in self.withheld_ms.items():
-                oprot.writeString(kiter130.encode('utf-8') if sys.version_info[0] == 2 else kiter130)
-                oprot.writeI64(viter131)
+            for kiter143, viter144 in self.withheld_ms.items():
+                oprot.writeString(kiter143.encode('utf-8') if sys.version_info[0] == 2 else kiter143)
+                oprot.writeI64(viter144)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.needs_exact_base is not None:
             oprot.writeFieldBegin('needs_exact_base', TType.BOOL, 12)
             oprot.writeBool(self.needs_exact_base)
             oprot.writeFieldEnd()
+        if self.zones is not None:
+            oprot.writeFieldBegin('zones', TType.LIST, 13)
+            oprot.writeListBegin(TType.STRUCT, len(self.zones))
+            for iter145 in self.zones:
+                iter145.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2844,11 +3142,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.signs = []
-                    (_etype135, _size132) = iprot.readListBegin()
-                    for _i136 in range(_size132):
-                        _elem137 = Sign()
-                        _elem137.read(iprot)
-                        self.signs.append(_elem137)
+                    (_etype149, _size146) = iprot.readListBegin()
+                    for _i150 in range(_size146):
+                        _elem151 = Sign()
+                        _elem151.read(iprot)
+                        self.signs.append(_elem151)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2874,8 +3172,8 @@
         if self.signs is not None:
             oprot.writeFieldBegin('signs', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.signs))
-            for iter138 in self.signs:
-                iter138.write(oprot)
+            for iter152 in self.signs:
+                iter152.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.progress_age_ms is not None:
@@ -2934,11 +3232,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.signs = []
-                    (_etype142, _size139) = iprot.readListBegin()
-                    for _i143 in range(_size139):
-                        _elem144 = ServerSign()
-                        _elem144.read(iprot)
-                        self.signs.append(_elem144)
+                    (_etype156, _size153) = iprot.readListBegin()
+                    for _i157 in range(_size153):
+                        _elem158 = ServerSign()
+                        _elem158.read(iprot)
+                        self.signs.append(_elem158)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2955,8 +3253,177 @@
         if self.signs is not None:
             oprot.writeFieldBegin('signs', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.signs))
-            for iter145 in self.signs:
-                iter145.write(oprot)
+            for iter159 in self.signs:
+                iter159.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ServerSpeed(object):
+    """
+    Attributes:
+     - server_id
+     - samples
+     - ratio_sum
+
+    """
+
+    __slots__ = (
+        'server_id',
+        'samples',
+        'ratio_sum',
+    )
+
+
+    def __init__(self, server_id=None, samples=None, ratio_sum=None,):
+        self.server_id = server_id
+        self.samples = samples
+        self.ratio_sum = ratio_sum
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.server_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.samples = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.ratio_sum = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServerSpeed')
+        if self.server_id is not None:
+            oprot.writeFieldBegin('server_id', TType.STRING, 1)
+            oprot.writeString(self.server_id.encode('utf-8') if sys.version_info[0] == 2 else self.server_id)
+            oprot.writeFieldEnd()
+        if self.samples is not None:
+            oprot.writeFieldBegin('samples', TType.I32, 2)
+            oprot.writeI32(self.samples)
+            oprot.writeFieldEnd()
+        if self.ratio_sum is not None:
+            oprot.writeFieldBegin('ratio_sum', TType.DOUBLE, 3)
+            oprot.writeDouble(self.ratio_sum)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ServerSpeeds(object):
+    """
+    Attributes:
+     - speeds
+
+    """
+
+    __slots__ = (
+        'speeds',
+    )
+
+
+    def __init__(self, speeds=None,):
+        self.speeds = speeds
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.speeds = []
+                    (_etype163, _size160) = iprot.readListBegin()
+                    for _i164 in range(_size160):
+                        _elem165 = ServerSpeed()
+                        _elem165.read(iprot)
+                        self.speeds.append(_elem165)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServerSpeeds')
+        if self.speeds is not None:
+            oprot.writeFieldBegin('speeds', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.speeds))
+            for iter166 in self.speeds:
+                iter166.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3004,6 +3471,7 @@
      - catalog_news
      - catalog_request
      - server_signs
+     - server_speeds
 
     """
 
@@ -3025,10 +3493,11 @@
         'catalog_news',
         'catalog_request',
         'server_signs',
+        'server_speeds',
     )
 
 
-    def __init__(self, ping=None, ping_reply=None, ping_request=None, join_request=None, join_reply=None, version_offer=None, manifest_request=None, manifest=None, segment_request=None, segments=None, flow_records=None, relayed_packet=None, relayed_request=None, incarnation_gone=None, catalog_news=None, catalog_request=None, server_signs=None,):
+    def __init__(self, ping=None, ping_reply=None, ping_request=None, join_request=None, join_reply=None, version_offer=None, manifest_request=None, manifest=None, segment_request=None, segments=None, flow_records=None, relayed_packet=None, relayed_request=None, incarnation_gone=None, catalog_news=None, catalog_request=None, server_signs=None, server_speeds=None,):
         self.ping = ping
         self.ping_reply = ping_reply
         self.ping_request = ping_request
@@ -3046,6 +3515,7 @@
         self.catalog_news = catalog_news
         self.catalog_request = catalog_request
         self.server_signs = server_signs
+        self.server_speeds = server_speeds
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3158,6 +3628,12 @@
                     self.server_signs.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.STRUCT:
+                    self.server_speeds = ServerSpeeds()
+                    self.server_speeds.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3236,6 +3712,10 @@
             oprot.writeFieldBegin('server_signs', TType.STRUCT, 17)
             self.server_signs.write(oprot)
             oprot.writeFieldEnd()
+        if self.server_speeds is not None:
+            oprot.writeFieldBegin('server_speeds', TType.STRUCT, 18)
+            self.server_speeds.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3518,6 +3998,7 @@
     (7, TType.I32, 'slots', None, None, ),  # 7
     (8, TType.BOOL, 'is_draining', None, None, ),  # 8
     (9, TType.I64, 'revision', None, None, ),  # 9
+    (10, TType.I64, 'cold_ms', None, None, ),  # 10
 )
 all_structs.append(DirectRoute)
 DirectRoute.thrift_spec = (
@@ -3525,6 +4006,17 @@
     (1, TType.STRING, 'address_key', 'BINARY', None, ),  # 1
     (2, TType.STRING, 'name', 'UTF8', None, ),  # 2
     (3, TType.MAP, 'weights_by_service', (TType.STRING, 'UTF8', TType.DOUBLE, None, False), None, ),  # 3
+    (4, TType.STRING, 'kind', 'UTF8', None, ),  # 4
+    (5, TType.I32, 'priority', None, None, ),  # 5
+    (6, TType.I64, 'aim_ms', None, None, ),  # 6
+    (7, TType.I64, 'timeout_ms', None, None, ),  # 7
+)
+all_structs.append(DirectService)
+DirectService.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'cold_start_ms', None, None, ),  # 2
+    (3, TType.DOUBLE, 'cold_per_s', None, None, ),  # 3
 )
 all_structs.append(DirectRoutes)
 DirectRoutes.thrift_spec = (
@@ -3534,6 +4026,15 @@
     (3, TType.LIST, 'routes', (TType.STRUCT, [DirectRoute, None], False), None, ),  # 3
     (4, TType.LIST, 'removed_keys', (TType.STRING, 'BINARY', False), None, ),  # 4
     (5, TType.I64, 'idle_timeout_ms', None, None, ),  # 5
+    (6, TType.LIST, 'services', (TType.STRUCT, [DirectService, None], False), None, ),  # 6
+)
+all_structs.append(ZoneState)
+ZoneState.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'zone', 'UTF8', None, ),  # 1
+    (2, TType.BOOL, 'is_evacuated', None, None, ),  # 2
+    (3, TType.I64, 'revision', None, None, ),  # 3
+    (4, TType.I64, 'remaining_ms', None, None, ),  # 4
 )
 all_structs.append(CatalogNews)
 CatalogNews.thrift_spec = (
@@ -3550,6 +4051,7 @@
     (10, TType.I64, 'base_epoch', None, None, ),  # 10
     (11, TType.MAP, 'withheld_ms', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 11
     (12, TType.BOOL, 'needs_exact_base', None, None, ),  # 12
+    (13, TType.LIST, 'zones', (TType.STRUCT, [ZoneState, None], False), None, ),  # 13
 )
 all_structs.append(CatalogRequest)
 CatalogRequest.thrift_spec = (
@@ -3578,6 +4080,18 @@
     None,  # 0
     (1, TType.LIST, 'signs', (TType.STRUCT, [ServerSign, None], False), None, ),  # 1
 )
+all_structs.append(ServerSpeed)
+ServerSpeed.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'server_id', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'samples', None, None, ),  # 2
+    (3, TType.DOUBLE, 'ratio_sum', None, None, ),  # 3
+)
+all_structs.append(ServerSpeeds)
+ServerSpeeds.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'speeds', (TType.STRUCT, [ServerSpeed, None], False), None, ),  # 1
+)
 all_structs.append(PeerMessage)
 PeerMessage.thrift_spec = (
     None,  # 0
@@ -3598,6 +4112,7 @@
     (15, TType.STRUCT, 'catalog_news', [CatalogNews, None], None, ),  # 15
     (16, TType.STRUCT, 'catalog_request', [CatalogRequest, None], None, ),  # 16
     (17, TType.STRUCT, 'server_signs', [ServerSigns, None], None, ),  # 17
+    (18, TType.STRUCT, 'server_speeds', [ServerSpeeds, None], None, ),  # 18
 )
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
--- a/hornbeamdeal/wire/_peer.py
+++ b/hornbeamdeal/wire/_peer.py
@@ -35,6 +35,7 @@
     ttypes.CatalogNews: "catalog_news",
     ttypes.CatalogRequest: "catalog_request",
     ttypes.ServerSigns: "server_signs",
+    ttypes.ServerSpeeds: "server_speeds",
 }
 
 
--- a/hornbeamdeal/wire/peer.thrift
+++ b/hornbeamdeal/wire/peer.thrift
@@ -144,12 +144,23 @@
   7: i32 slots
   8: bool is_draining
   9: i64 revision
+  10: i64 cold_ms // how much longer the server is slow after its start
 }
 
 struct DirectRoute {
   1: binary address_key
   2: string name
   3: map<string, double> weights_by_service
+  4: string kind
+  5: i32 priority // 0 is the highest
+  6: i64 aim_ms // when callers want the answer
+  7: i64 timeout_ms // when callers give up
+}
+
+struct DirectService {
+  1: string name
+  2: i64 cold_start_ms // how long a server is cold after its start
+  3: double cold_per_s // requests that a cold server bears
 }
 
 struct DirectRoutes {
@@ -158,6 +169,16 @@
   3: list<DirectRoute> routes
   4: list<binary> removed_keys
   5: i64 idle_timeout_ms
+  6: list<DirectService> services
+}
+
+// Whether a zone is evacuated since `revision`, 0 where a restored store has lost the
+// evacuation. It is then in force for `remaining_ms`.
+struct ZoneState {
+  1: string zone
+  2: bool is_evacuated
+  3: i64 revision
+  4: i64 remaining_ms
 }
 
 // Changes of the catalog after `base_revision`, -1 for a full copy. Revisions belong
@@ -178,6 +199,7 @@
   10: i64 base_epoch
   11: map<string, i64> withheld_ms // how much longer listed servers get no new flows
   12: bool needs_exact_base // a later base may list servers that have left since
+  13: list<ZoneState> zones
 }
 
 // Asks for a full copy; answered over TCP. With `only_if_newer` it is answered only
@@ -209,6 +231,18 @@
   1: list<ServerSign> signs
 }
 
+// Answer times of a server's requests that one host saw lately, as ratios to the mean
+// of their route.
+struct ServerSpeed {
+  1: string server_id
+  2: i32 samples
+  3: double ratio_sum
+}
+
+struct ServerSpeeds {
+  1: list<ServerSpeed> speeds
+}
+
 union PeerMessage {
   1: Ping ping
   2: PingReply ping_reply
@@ -227,6 +261,7 @@
   15: CatalogNews catalog_news
   16: CatalogRequest catalog_request
   17: ServerSigns server_signs
+  18: ServerSpeeds server_speeds
 }
 
 struct Envelope {
--- a/tests/fakes/dsr_host.py
+++ b/tests/fakes/dsr_host.py
@@ -2,6 +2,7 @@
 
 from hornbeamdeal.dsr import (
     Catalog,
+    Eligibility,
     FlowTable,
     Forwarder,
     LinkQueue,
@@ -10,6 +11,7 @@
     RouteTable,
     Server,
     ServerHealth,
+    SlowStart,
     Update,
     make_placement,
 )
@@ -99,16 +101,37 @@
 class Host:
     """A forwarder that records the datagrams it sends."""
 
-    def __init__(self, clock=None, zone=ZONE, random_state=1, link_mbps=None):
+    def __init__(
+        self,
+        clock=None,
+        zone=ZONE,
+        random_state=1,
+        link_mbps=None,
+        host_id="h1",
+        cold_overage=None,
+        cold_slack=0.0,
+    ):
         self.clock = clock or ManualClock(100.0)
         self.journal = RecordingJournal()
         self.catalog = Catalog()
         self.server_health = ServerHealth()
         self.outstanding = OutstandingRequests()
+        self.slow_start = SlowStart(
+            catalog=self.catalog,
+            host_id=host_id,
+            zone=zone,
+            overage=cold_overage,
+            slack=cold_slack,
+        )
         self.sent = []
         self.forwarder = Forwarder(
             catalog=self.catalog,
             codec=EchoPacketCodec(caller_port=CALLER_PORT),
+            eligibility=Eligibility(
+                catalog=self.catalog,
+                server_health=self.server_health,
+                slow_start=self.slow_start,
+            ),
             server_health=self.server_health,
             flows=FlowTable(),
             journal=self.journal,
--- a/tests/specs/store_epochs.py
+++ b/tests/specs/store_epochs.py
@@ -126,7 +126,7 @@
         if peer.can_apply(update):
             peer.apply(update, 0.0)
         else:
-            peer.apply(_catalog_of(state.reader).as_update(), 0.0)
+            peer.apply(_catalog_of(state.reader).as_update(0.0), 0.0)
         after = _host_of(peer)
         yield "message arrives", state._replace(peer=after, message=())
         yield "message is lost", state._replace(message=())
--- a/tests/steps/dsr_forwarding_steps.py
+++ b/tests/steps/dsr_forwarding_steps.py
@@ -22,7 +22,7 @@
     number_in,
 )
 
-from hornbeamdeal.dsr import forward_pending
+from hornbeamdeal.dsr import explain_opening, forward_pending
 from hornbeamdeal.platform._packets import encode_address
 
 HANDLE_BYTES = slice(12, 16)
@@ -330,7 +330,8 @@
 
 def explain(host):
     address_key = encode_address(SERVICE_IP, SERVICE_PORT)
-    return host.forwarder.explain(address_key, host.clock.monotonic())["verdict"]
+    now = host.clock.monotonic()
+    return explain_opening(host.forwarder, address_key, now)["verdict"]
 
 
 @then("explain says that {usable:d} of {count:d} servers takes new flows")
--- a/tests/steps/dsr_restored_catalog_steps.py
+++ b/tests/steps/dsr_restored_catalog_steps.py
@@ -186,7 +186,7 @@
 
 @then("a host without a catalog withholds server 1 after a full copy")
 def then_peer_withholds(context):
-    update = context.catalog.as_update()
+    update = context.catalog.as_update(0.0)
     message = encode_news(update, age=0.0, position=0, previous_routes=None)
     other = Catalog()
     decoded = decode_news(message, None, other.epoch)
