Encode the text that ranks home hosts

Change: the text is encoded; a scenario opens flows at a home host. Result: the scenario fails before and passes after.

--- a/hornbeamdeal/dsr/_slow_start.py
+++ b/hornbeamdeal/dsr/_slow_start.py
@@ -187,4 +187,4 @@
 
     @staticmethod
     def _weight(host_id: str, server: Server) -> int:
-        return xxhash.xxh64_intdigest(f"{host_id}/{server.server_id}")
+        return xxhash.xxh64_intdigest(f"{host_id}/{server.server_id}".encode())
--- a/tests/dsr/forwarding.feature
+++ b/tests/dsr/forwarding.feature
@@ -160,3 +160,10 @@
     And caller 100.64.0.1:1000 opens a flow
     Then nothing is sent
     And explain says that the opening packet is dropped
+
+  # A text that isn't encoded for the hash ended each opening at hosts that rank
+  # themselves for a cold server.
+  Scenario: a home host opens flows to a cold server at a low rate
+    Given a host of a zone with 2 hosts and a cold server besides a warm one
+    When 40 flows are opened within 1 second
+    Then the cold server gets at most 1 opening and the warm server the others
--- a/tests/steps/dsr_forwarding_steps.py
+++ b/tests/steps/dsr_forwarding_steps.py
@@ -343,3 +343,28 @@
 @then("explain says that the opening packet is {outcome}")
 def then_explained_outcome(context, outcome):
     assert explain(context.host).startswith(outcome), explain(context.host)
+
+
+@given("a host of a zone with 2 hosts and a cold server besides a warm one")
+def given_cold_server(context):
+    context.host = Host(cold_overage=1.5, cold_slack=5.0)
+    cold, warm = make_server("1"), make_server("2")
+    cold.cold_seconds = 60.0
+    context.host.apply_update([cold, warm], make_routes())
+    context.host.slow_start.set_zone_hosts({"h1", "h2"}, 0.0)
+
+
+@when("{count:d} flows are opened within 1 second")
+def when_many_opened(context, count):
+    context.numbers = []
+    for port in range(count):
+        [(data, _)] = context.host.open_flow(f"100.64.0.9:{2000 + port}")
+        context.numbers.append(number_in(data))
+        context.host.clock.advance(1 / count)
+
+
+@then("the cold server gets at most 1 opening and the warm server the others")
+def then_cold_limited(context):
+    counts = Counter(context.numbers)
+    assert counts[1] == 1, counts
+    assert counts[2] == len(context.numbers) - 1, counts
