dsr: mend seven faults of zone evacuations

Cause: a reader sent peers only changes of whether a zone is evacuated, so that an operator's rewrite of an evacuation that a restored store had lost stayed unknown to them, and ended on them after 30 s. States were compared only with the record's revision, which is 0 after a restore, and never with that of the copy or of changes to another epoch: a late update evacuated a zone for ever. The remaining time of a peer's lost evacuation was ignored by hosts that knew the evacuation or the zone's former return. A return that followed an evacuation which a host had missed did not count as a new one. A duplicate of an opening packet went to its server though the zone had been evacuated since. A later copy was refused by a host without a record of the first, while a server may have it from another host. Change: every newer state counts as news; states are compared with the revision of the latest copy; a lost evacuation takes the shorter of two remaining times; duplicates and later copies are dropped, later copies only where servers are evacuated or cold, so that other deployments are served as before. The fakes know evacuations.

--- a/hornbeamdeal/dsr/_catalog.py
+++ b/hornbeamdeal/dsr/_catalog.py
@@ -60,7 +60,7 @@
     evacuations : ZoneEvacuations
         Zones whose servers get no new flows.
     changed_zones : list of str
-        Zones whose evacuation began or ended with the latest update or expiry.
+        Zones of which the latest update or expiry told a newer state.
     """
 
     __slots__ = (
@@ -206,7 +206,7 @@
         if is_new_epoch:
             superseded_ids = self._superseded_ids(update.servers)
             changes += self._start_history(update)
-            self.evacuations.start_epoch(update.base_revision is None, now)
+            self.evacuations.start_epoch(now)
         for server in update.servers:
             if self._add_server(server, now):
                 changes.append(("listed", server))
@@ -218,15 +218,14 @@
             removed = self._remove_server(server_id, revision, now)
             if removed is not None:
                 changes.append(("removed", removed))
+        lists_all = is_new_epoch or update.base_revision is None
         self.changed_zones = self.evacuations.apply(
-            update.zones,
-            update.revision if update.base_revision is None else None,
-            now,
+            update.zones, update.revision if lists_all else None, now
         )
         if update.routes is not None:
             self._update_routes(update.routes)
         self.revision = max(self.revision, update.revision)
-        if is_new_epoch or update.base_revision is None:
+        if lists_all:
             self._copied_revision = max(self._copied_revision, update.revision)
         if changes or self.changed_zones or update.routes is not None:
             self._rebuild_indexes(now)
--- a/hornbeamdeal/dsr/_eligibility.py
+++ b/hornbeamdeal/dsr/_eligibility.py
@@ -5,6 +5,9 @@
 from ._server_health import ServerHealth
 from ._slow_start import SlowStart
 
+# Reason of a refusal where a route has no server at all for new flows.
+NO_SERVER = "no_server"
+
 
 class Eligibility:
     """Filters a route's servers by catalog, slow start and health.
@@ -70,4 +73,4 @@
             return "cold_servers"
         if any(self.catalog.has_evacuated_servers(service) for service in services):
             return "zone_evacuated"
-        return "no_server"
+        return NO_SERVER
--- a/hornbeamdeal/dsr/_evacuations.py
+++ b/hornbeamdeal/dsr/_evacuations.py
@@ -40,7 +40,7 @@
 
     def __init__(self):
         self.records_by_zone: dict[str, ZoneRecord] = {}
-        # Revision of the latest full copy: a zone not listed since is not evacuated.
+        # Revision of the latest full copy, which told every state up to it.
         self._copied_revision = 0
 
     def is_evacuated(self, zone: str) -> bool:
@@ -65,37 +65,40 @@
         """Return whether an evacuation is in force that a restored store has lost."""
         return any(r.expires_at is not None for r in self.records_by_zone.values())
 
-    def start_epoch(self, is_full_copy: bool, now: float) -> None:
+    def start_epoch(self, now: float) -> None:
         """Forget the revisions of the epoch before.
 
-        With a full copy, evacuations are unconfirmed until the copy lists them.
+        Evacuations are unconfirmed until the new epoch lists them.
         """
         self._copied_revision = 0
         for record in self.records_by_zone.values():
             record.revision = NO_REVISION
-            if record.is_evacuated and record.expires_at is None and is_full_copy:
+            if record.is_evacuated and record.expires_at is None:
                 record.expires_at = now + UNCONFIRMED_EVACUATION_SECONDS
 
     def apply(
-        self, states: list[ZoneState], full_copy_revision: int | None, now: float
+        self, states: list[ZoneState], copied_revision: int | None, now: float
     ) -> list[str]:
-        """Apply newer states; return the zones that are now in another state.
+        """Apply newer states; return the zones with a newer or another state.
 
-        `full_copy_revision` is the revision of a full copy, which lists all evacuated
-        zones, None if the states are changes.
+        A newer revision is news even without a change: it confirms an evacuation that
+        a restored store has lost, and peers must learn of that.
+
+        `copied_revision` is the revision of a full copy or of the changes to another
+        epoch, which list all evacuated zones, None if the states are changes.
         """
         listed = dict.fromkeys(state.zone for state in states)
         changed = [state.zone for state in states if self._apply_state(state, now)]
         # A zone may be evacuated and returned within one answer of the store.
         changed = list(dict.fromkeys(changed))
-        if full_copy_revision is None:
+        if copied_revision is None:
             return changed
         for zone, record in self.records_by_zone.items():
-            is_older = NO_REVISION < record.revision <= full_copy_revision
+            is_older = NO_REVISION < record.revision <= copied_revision
             if record.is_evacuated and is_older and zone not in listed:
-                state = ZoneState(zone, False, full_copy_revision)
+                state = ZoneState(zone, False, copied_revision)
                 changed += [zone] if self._apply_state(state, now) else []
-        self._copied_revision = max(self._copied_revision, full_copy_revision)
+        self._copied_revision = max(self._copied_revision, copied_revision)
         return changed
 
     def expire(self, now: float) -> list[str]:
@@ -112,42 +115,49 @@
     def state_of(self, zone: str, now: float) -> ZoneState:
         """Return the state of a known zone for an update."""
         record = self.records_by_zone[zone]
-        remaining = max(0.0, record.expires_at - now) if record.expires_at else 0.0
-        return ZoneState(zone, record.is_evacuated, record.revision, remaining)
+        expires_at = now if record.expires_at is None else record.expires_at
+        return ZoneState(
+            zone, record.is_evacuated, record.revision, max(0.0, expires_at - now)
+        )
 
     def evacuated_states(self, now: float) -> list[ZoneState]:
         """Return the states of the evacuated zones for a full copy."""
         return [self.state_of(zone, now) for zone in self.evacuated_zones]
 
     def _apply_state(self, state: ZoneState, now: float) -> bool:
-        """Apply a state that is newer; return whether it changes the zone."""
+        """Apply a state that is newer; return whether it was."""
         record = self.records_by_zone.get(state.zone)
         if state.revision == NO_REVISION:
             return self._adopt_unconfirmed(state, record, now)
-        known_revision = record.revision if record else self._copied_revision
-        if state.revision <= known_revision:
+        known_revision = record.revision if record else NO_REVISION
+        if state.revision <= max(known_revision, self._copied_revision):
             return False
-        was_evacuated = record is not None and record.is_evacuated
-        if record is None or was_evacuated != state.is_evacuated:
+        if record is None or not (record.is_evacuated and state.is_evacuated):
+            # A newer return ends an evacuation that this host has not seen.
             record = ZoneRecord(state.is_evacuated, state.revision, now)
             self.records_by_zone[state.zone] = record
         record.revision = state.revision
         record.expires_at = None
-        return was_evacuated != state.is_evacuated
+        return True
 
     def _adopt_unconfirmed(
         self, state: ZoneState, record: ZoneRecord | None, now: float
     ) -> bool:
-        """Adopt a peer's unconfirmed evacuation unless the store has said otherwise."""
+        """Adopt a peer's unconfirmed evacuation unless the store has said otherwise.
+
+        Return whether it begins here.
+        """
         if not state.is_evacuated or not state.remaining_seconds:
             return False
+        if record is not None and record.revision != NO_REVISION:
+            return False
         remaining = min(state.remaining_seconds, UNCONFIRMED_EVACUATION_SECONDS)
-        if record is None:
+        is_new = record is None or not record.is_evacuated
+        if is_new:
             record = ZoneRecord(True, NO_REVISION, now)
             record.expires_at = now + remaining
             self.records_by_zone[state.zone] = record
-            return True
-        is_unknown = record.revision == NO_REVISION and record.expires_at is None
-        if record.is_evacuated and is_unknown:
-            record.expires_at = now + remaining
-        return False
+        elif record.expires_at is not None:
+            # This host may have heard of the restore later than the peer.
+            record.expires_at = min(record.expires_at, now + remaining)
+        return is_new
--- a/hornbeamdeal/dsr/_forwarder.py
+++ b/hornbeamdeal/dsr/_forwarder.py
@@ -14,7 +14,7 @@
     Transmit,
 )
 from ._catalog import Catalog
-from ._eligibility import Eligibility
+from ._eligibility import NO_SERVER, Eligibility
 from ._flow_table import MINIMUM_RETRANSMISSION_SECONDS, Flow, FlowTable
 from ._link_queue import LinkQueue
 from ._outstanding_requests import OutstandingRequests
@@ -152,10 +152,16 @@
         if flow.tried_servers and (
             is_duplicate or arrived_at - flow.sent_at < MINIMUM_RETRANSMISSION_SECONDS
         ):
-            self._send_opening(packet, flow.tried_servers[-1], now)
+            self._repeat_opening(packet, flow.tried_servers[-1], now)
             return
         self._place(packet, route, flow, now)
 
+    def _repeat_opening(self, packet: CallerPacket, server: Server, now: float) -> None:
+        if self.catalog.evacuations.is_evacuated(server.zone):
+            self.journal.count("openings_dropped", "zone_evacuated")
+            return
+        self._send_opening(packet, server, now)
+
     def _place(
         self, packet: CallerPacket, route: Route, flow: Flow, now: float
     ) -> None:
@@ -230,11 +236,14 @@
     def _handle_unplaceable(
         self, packet: CallerPacket, route: Route, flow: Flow, now: float
     ) -> None:
-        if flow.tried_servers:
-            # A server may have accepted an earlier copy, so a refusal could be untrue.
+        reason = self.eligibility.missing_reason(route)
+        # A server may have accepted an earlier copy, so a refusal could be untrue.
+        # Another host may have sent that copy, while servers of the route got flows.
+        may_be_placed = packet.copy_number > 0 and reason != NO_SERVER
+        if flow.tried_servers or may_be_placed:
             self.journal.count("openings_dropped", "tried_before")
             return
-        self._refuse(packet, self.eligibility.missing_reason(route), now)
+        self._refuse(packet, reason, now)
 
     def _pick_service(
         self, route: Route, servers_by_service: dict[str, list[Server]]
--- a/hornbeamdeal/dsr/_records.py
+++ b/hornbeamdeal/dsr/_records.py
@@ -189,7 +189,8 @@
     by server id. `withheld` holds for how many more seconds listed servers get no new
     flows. `routes` is None if the configuration is unchanged. `needs_exact_base` is set
     if a server that a later base lists may have left without being in `removed`.
-    `zones` holds changed states of zones, in a full copy all evacuated ones.
+    `zones` holds changed states of zones; in a full copy, and in the changes from one
+    epoch to the next, all evacuated ones.
     """
 
     __slots__ = (
--- a/tests/fakes/dsr_fleet_simulation.py
+++ b/tests/fakes/dsr_fleet_simulation.py
@@ -14,6 +14,7 @@
     ServerHealth,
     SourceError,
     Update,
+    ZoneState,
 )
 from hornbeamdeal.kernel import (
     Endpoint,
@@ -55,6 +56,7 @@
         self.revision = 1
         self.changes = []
         self.servers_by_id = {}
+        self.evacuated_at_by_zone = {}
         self.routes = make_routes(1)
         self.calls = []
         self.refused_hosts = set()
@@ -65,8 +67,8 @@
         self.changed = trio.Event()
         self.cut = trio.Event()
 
-    def put(self, server=None, routes=None, removed=None):
-        """Write one change."""
+    def put(self, server=None, routes=None, removed=None, zone=None):
+        """Write one change; `zone` is a zone and whether it is evacuated."""
         self.revision += 1
         if server is not None:
             server.revision = self.revision
@@ -75,7 +77,9 @@
             del self.servers_by_id[removed]
         if routes is not None:
             self.routes = routes
-        self.changes.append((self.revision, server, routes, removed))
+        if zone is not None:
+            self._set_zone(self.revision, *zone)
+        self.changes.append((self.revision, server, routes, removed, zone))
         self.changed.set()
         self.changed = trio.Event()
 
@@ -92,15 +96,23 @@
         self.revision = revision
         self.changes = [change for change in self.changes if change[0] <= revision]
         self.servers_by_id = {}
+        self.evacuated_at_by_zone = {}
         self.routes = make_routes(1)
-        for _, server, routes, removed in self.changes:
+        for changed_at, server, routes, removed, zone in self.changes:
             if server is not None:
                 self.servers_by_id[server.server_id] = server
             self.servers_by_id.pop(removed, None)
             self.routes = routes or self.routes
+            if zone is not None:
+                self._set_zone(changed_at, *zone)
         self.cut.set()
         self.cut = trio.Event()
 
+    def _set_zone(self, revision, name, is_evacuated):
+        self.evacuated_at_by_zone.pop(name, None)
+        if is_evacuated:
+            self.evacuated_at_by_zone[name] = revision
+
     def calls_between(self, start, end):
         """Return the number of calls from `start` until before `end`."""
         return sum(start <= at < end for at, _ in self.calls)
@@ -122,6 +134,9 @@
             revision=store.revision,
             servers=list(store.servers_by_id.values()),
             routes=store.routes,
+            zones=[
+                ZoneState(z, True, r) for z, r in store.evacuated_at_by_zone.items()
+            ],
         )
 
     async def watch(self, after_revision, wait_seconds):
@@ -158,10 +173,11 @@
             epoch=store.epoch,
             revision=store.revision,
             servers=[],
+            zones=[],
         )
         if store.omits_events:
             return update
-        for revision, server, routes, removed in store.changes:
+        for revision, server, routes, removed, zone in store.changes:
             if revision <= after_revision:
                 continue
             if server is not None:
@@ -169,6 +185,8 @@
             if removed is not None:
                 update.removed[removed] = revision
             update.routes = routes or update.routes
+            if zone is not None:
+                update.zones.append(ZoneState(*zone, revision))
         return update
 
     async def _call(self, kind):
--- a/tests/fakes/dsr_host.py
+++ b/tests/fakes/dsr_host.py
@@ -148,7 +148,14 @@
         )
 
     def apply_update(
-        self, servers=(), routes=None, revision=1, base=None, removed=None
+        self,
+        servers=(),
+        routes=None,
+        revision=1,
+        base=None,
+        removed=None,
+        zones=(),
+        epoch=0,
     ):
         """Apply an update and mark the catalog as current."""
         now = self.clock.monotonic()
@@ -158,6 +165,8 @@
             servers=list(servers),
             removed=removed,
             routes=routes,
+            zones=zones,
+            epoch=epoch,
         )
         changes = self.catalog.apply(update, now)
         self.catalog.confirm(now)
