platform: survive a malformed evacuation's key in the log

Cause: a key with half of a surrogate pair raised UnicodeEncodeError at each flush of the log. The removal of a malformed key was logged as another unusable entry. Change: the log escapes what UTF-8 can't encode; removals of malformed keys are ignored.

--- a/hornbeamdeal/observability/_journal.py
+++ b/hornbeamdeal/observability/_journal.py
@@ -112,7 +112,9 @@
         """
         if not self._unwritten and not self._lines:
             return
-        data = self._unwritten + "".join(line + "\n" for line in self._lines).encode()
+        text = "".join(line + "\n" for line in self._lines)
+        # A key of the store may hold half of a surrogate pair.
+        data = self._unwritten + text.encode(errors="backslashreplace")
         self._lines.clear()
         try:
             written = os.write(self.descriptor, data)
--- a/hornbeamdeal/platform/_store.py
+++ b/hornbeamdeal/platform/_store.py
@@ -208,7 +208,8 @@
         try:
             zone = decode_evacuated_zone(key)
         except EntryError as error:
-            self._report_unusable(key, revision, str(error))
+            if not item.get("deleted"):
+                self._report_unusable(key, revision, str(error))
             return
         update.zones.append(ZoneState(zone, not item.get("deleted"), revision))
 
--- a/tests/platform/adapter.feature
+++ b/tests/platform/adapter.feature
@@ -160,3 +160,38 @@
       | again              | unavailable | no,yes    |
       | again              | throttled   | no,yes    |
       | again              | lost        | no        |
+
+  Scenario: evacuations are read with the servers
+    Given a stand-in store with 3 servers on pages of 2
+    When the operator evacuates z1
+    And the adapter loads the store
+    Then it has 3 servers and the configuration
+    And the adapter's update has z1 evacuated
+
+  Scenario: an evacuation and its end within one watch are both told
+    Given a stand-in store with 3 servers on pages of 50
+    When the operator evacuates z1
+    And the operator returns z1
+    Then the adapter's watch tells of z1 evacuated, then returned
+
+  Scenario Outline: a malformed evacuation is logged and counted, others are in effect
+    Given a stand-in store with 3 servers on pages of 50
+    When the operator evacuates <zone>
+    And the operator evacuates z1
+    And the adapter loads the store
+    Then the adapter's update has z1 evacuated
+    And one unusable entry is logged
+    And a node's log can hold it
+
+    Examples:
+      | zone                    |
+      | nothing                 |
+      | z1/z2                   |
+      | half a surrogate pair   |
+
+  Scenario: the end of a malformed evacuation is not logged as unusable
+    Guards against an alarm for the operator's correction.
+    Given a stand-in store with 3 servers on pages of 50
+    When the operator evacuates z1/z2
+    And the operator returns z1/z2
+    Then the adapter's watch tells of one unusable entry
--- a/tests/steps/platform_adapter_steps.py
+++ b/tests/steps/platform_adapter_steps.py
@@ -2,6 +2,7 @@
 
 import copy
 import json
+import os
 
 import trio
 from behave import given, then, when
@@ -10,6 +11,7 @@
 
 from hornbeamdeal.dsr import SourceError
 from hornbeamdeal.kernel import Endpoint, ManualClock
+from hornbeamdeal.observability import BufferedJournal
 from hornbeamdeal.platform._entries import EntryError, decode_routes, decode_server
 from hornbeamdeal.platform._packets import EchoPacketCodec, encode_address
 from hornbeamdeal.platform._settings import SettingsError, decode_settings
@@ -405,3 +407,52 @@
 @then("its reads allow a stale copy: {reads}")
 def then_reads(context, reads):
     assert ",".join(context.reads) == reads, context.reads
+
+
+def evacuation_key(zone):
+    names = {"nothing": "", "half a surrogate pair": "\ud800"}
+    return "op/evacuate/" + names.get(zone, zone)
+
+
+@when("the operator evacuates {zone}")
+def when_evacuates(context, zone):
+    context.revision_before = context.store.revision
+    context.store.put(evacuation_key(zone), {})
+
+
+@when("the operator returns {zone}")
+def when_returns(context, zone):
+    context.store.delete(evacuation_key(zone))
+
+
+def zone_states(update):
+    return [(state.zone, state.is_evacuated) for state in update.zones]
+
+
+@then("the adapter's update has z1 evacuated")
+def then_has_evacuated(context):
+    assert zone_states(context.update) == [("z1", True)]
+
+
+@then("the adapter's watch tells of z1 evacuated, then returned")
+def then_told(context):
+    update = watch_from(context, context.revision_before)
+    assert zone_states(update) == [("z1", True), ("z1", False)]
+    assert update.zones[0].revision < update.zones[1].revision
+
+
+@then("the adapter's watch tells of one unusable entry")
+def then_one_unusable(context):
+    assert zone_states(watch_from(context, context.revision_before)) == []
+    assert context.journal.counts["entries_unusable", ""] == 1
+
+
+@then("a node's log can hold it")
+def then_log_holds(context):
+    [fields] = [f for n, f in context.journal.events if n == "entry_unusable"]
+    with open(os.devnull, "wb") as log:
+        journal = BufferedJournal(
+            host_id="h", descriptor=log.fileno(), clock=ManualClock(0.0)
+        )
+        journal.event("entry_unusable", **fields)
+        journal.flush()
