dsr: end an evacuation that a peer's copy of the same history has lost

Cause: the new model of zone evacuations found it. A host that had the evacuation from the new history, and missed its end there, got the copy of a peer that knew the evacuation from the old history only. The copy lists the zone as lost, which kept the host's evacuation for ever at a position where the store had none. Change: a zone that a copy lists without a revision counts as not listed. The model covers a reader, a peer and a store that is restored twice.

--- a/hornbeamdeal/dsr/_evacuations.py
+++ b/hornbeamdeal/dsr/_evacuations.py
@@ -87,7 +87,8 @@
         `copied_revision` is the revision of a full copy or of the changes to another
         epoch, which list all evacuated zones, None if the states are changes.
         """
-        listed = dict.fromkeys(state.zone for state in states)
+        # What a copy lists without a revision is lost: its epoch does not list it.
+        listed = {state.zone for state in states if state.revision != NO_REVISION}
         changed = [state.zone for state in states if self._apply_state(state, now)]
         # A zone may be evacuated and returned within one answer of the store.
         changed = list(dict.fromkeys(changed))
--- a/tests/dsr/evacuations.feature
+++ b/tests/dsr/evacuations.feature
@@ -185,3 +185,26 @@
     Given a fleet of 7 hosts that evacuates and returns zone z1 within one watch
     Then every host uses zone z1 again 5 s after the end
     And every host that read or heard of it knows of the return
+
+  Scenario: a copy that lists a zone as lost ends an evacuation that the store ended
+    Guards against a zone that is out of use for ever on a host that missed the end, while
+    its peer missed the whole evacuation of the new history.
+    Given an evacuation host with servers in zones z1,z2
+    When the store evacuates zone z1 at revision 8
+    And a peer's copy of the same history lists z1 as lost with 5 s left
+    Then of the evacuation host's zones z1,z2 gets new flows
+
+  Scenario: hosts that are current agree with a restored store about a zone
+    Then the model of zone evacuations holds with all mechanisms
+
+  Scenario Outline: each mechanism of evacuations against a restored store is needed
+    Guards against a model that holds even without a mechanism.
+    Then the model of zone evacuations fails without <mechanism>
+
+    Examples:
+      | mechanism       |
+      | epochs          |
+      | exact_base      |
+      | confirmations   |
+      | all_zones       |
+      | copied_revision |
--- a/tests/specs/store_epochs.py
+++ b/tests/specs/store_epochs.py
@@ -161,14 +161,14 @@
     )
 
 
-class _Sent:
+class SentUpdate:
     """Keeps the update that the reader sends to peers."""
 
     def broadcast(self, update, previous):
         self.update = update
 
 
-class _SilentJournal:
+class SilentJournal:
     def event(self, name, **fields):
         pass
 
@@ -182,10 +182,10 @@
         catalog=_catalog_of(state.reader),
         read_scheduler=ReadScheduler(random_state=1),
         server_health=ServerHealth(),
-        journal=_SilentJournal(),
+        journal=SilentJournal(),
         source=None,
     )
-    reader.peering = sent = _Sent()
+    reader.peering = sent = SentUpdate()
     reader._apply_answer(_with_epoch(answer, epochs), 0.0)
     update = sent.update
     if not all_removals and state.reader.entry == "gone":
--- a/tests/steps/dsr_evacuations_steps.py
+++ b/tests/steps/dsr_evacuations_steps.py
@@ -13,6 +13,7 @@
     make_routes,
     make_server,
 )
+from specs.zone_evacuations import check
 
 from hornbeamdeal.dsr import Update, ZoneState
 
@@ -100,6 +101,11 @@
     apply_copy(context, BASE_REVISION, [ZoneState(ZONE, True, 0, seconds)])
 
 
+@when("a peer's copy of the same history lists z1 as lost with {seconds:g} s left")
+def when_peer_lost_here(context, seconds):
+    apply_copy(context, BASE_REVISION, [ZoneState(ZONE, True, 0, seconds)])
+
+
 @when("changes from revision 10 to revision 9 of the next history come")
 def when_next_history(context):
     context.host.apply_update(context.servers, revision=BASE_REVISION, epoch=1)
@@ -330,3 +336,18 @@
     for host in context.simulation.hosts:
         returned_at = host.catalog.evacuations.returned_at(ZONE)
         assert returned_at >= EVACUATED_AT, host.host_id
+
+
+@then("the model of zone evacuations holds with all mechanisms")
+def then_model_holds(context):
+    result = check()
+    assert result["exhaustive"]
+    assert result["properties"]["current_hosts_agree"]["holds"] is True, result
+
+
+@then("the model of zone evacuations fails without {mechanism}")
+def then_model_fails(context, mechanism):
+    result = check(**{mechanism: False}, maximum_revision=3)
+    found = result["properties"]["current_hosts_agree"]
+    assert found["holds"] is False
+    assert found["counterexample"]
