dsr: log an evacuation that a restored store has lost

Cause: real nodes kept a lost evacuation for 30 s and wrote no line, so that the operator had nothing to learn of the loss from before it ended.

--- a/hornbeamdeal/dsr/_catalog.py
+++ b/hornbeamdeal/dsr/_catalog.py
@@ -201,12 +201,12 @@
             if update.routes is not None:
                 self._update_routes(update.routes)
             return []
-        changes, superseded_ids = [], []
+        changes, superseded_ids, evacuated_zones = [], [], []
         is_new_epoch = update.epoch > self.epoch
         if is_new_epoch:
             superseded_ids = self._superseded_ids(update.servers)
             changes += self._start_history(update)
-            self.evacuations.start_epoch(now)
+            evacuated_zones = self.evacuations.start_epoch(now)
         for server in update.servers:
             if self._add_server(server, now):
                 changes.append(("listed", server))
@@ -222,6 +222,9 @@
         self.changed_zones = self.evacuations.apply(
             update.zones, update.revision if lists_all else None, now
         )
+        # Those that the store has lost are news as well.
+        lost_zones = [z for z in evacuated_zones if z not in self.changed_zones]
+        self.changed_zones += lost_zones
         if update.routes is not None:
             self._update_routes(update.routes)
         self.revision = max(self.revision, update.revision)
--- a/hornbeamdeal/dsr/_catalog_reader.py
+++ b/hornbeamdeal/dsr/_catalog_reader.py
@@ -225,14 +225,12 @@
         base = (self.catalog.epoch, self.catalog.revision)
         previous = self.catalog.routes
         changes = self._apply(update)
+        # In another epoch these are all evacuated zones, as peers forget the revisions.
         changed_zones = self.catalog.changed_zones
         self.catalog.confirm(confirmed_at)
         new_changes = self._new_changes(update, base, previous, changes)
         now = self.clock.monotonic()
         evacuations = self.catalog.evacuations
-        if self.catalog.epoch != base[0]:
-            # Peers forget the revisions of the epoch before, so they need all states.
-            changed_zones = set(changed_zones).union(evacuations.evacuated_zones)
         new_changes.zones = [evacuations.state_of(zone, now) for zone in changed_zones]
         self.read_scheduler.record_answer(not new_changes.is_empty, now)
         if self.peering is not None:
--- a/hornbeamdeal/dsr/_evacuations.py
+++ b/hornbeamdeal/dsr/_evacuations.py
@@ -65,16 +65,17 @@
         """Return whether an evacuation is in force that a restored store has lost."""
         return any(r.expires_at is not None for r in self.records_by_zone.values())
 
-    def start_epoch(self, now: float) -> None:
-        """Forget the revisions of the epoch before.
+    def start_epoch(self, now: float) -> list[str]:
+        """Forget the revisions of the epoch before; return the evacuated zones.
 
-        Evacuations are unconfirmed until the new epoch lists them.
+        Their evacuations are unconfirmed until the new epoch lists them.
         """
         self._copied_revision = 0
         for record in self.records_by_zone.values():
             record.revision = NO_REVISION
             if record.is_evacuated and record.expires_at is None:
                 record.expires_at = now + UNCONFIRMED_EVACUATION_SECONDS
+        return self.evacuated_zones
 
     def apply(
         self, states: list[ZoneState], copied_revision: int | None, now: float
--- a/tests/dsr/evacuations.feature
+++ b/tests/dsr/evacuations.feature
@@ -96,7 +96,8 @@
     Given an evacuation host with servers in zones z1,z2
     When the store evacuates zone z1 at revision 11
     And the store is restored to revision 10 and lists no evacuation
-    And 29.9 s pass on the evacuation host
+    Then the evacuation host tells that z1 is lost and ends in 30 s
+    When 29.9 s pass on the evacuation host
     Then of the evacuation host's zones z2 gets new flows
     When 0.2 s pass on the evacuation host
     Then of the evacuation host's zones z1,z2 gets new flows
--- a/tests/steps/dsr_evacuations_steps.py
+++ b/tests/steps/dsr_evacuations_steps.py
@@ -162,6 +162,14 @@
     assert context.host.catalog.evacuations.evacuated_zones == [zone]
 
 
+@then("the evacuation host tells that z1 is lost and ends in {seconds:g} s")
+def then_lost(context, seconds):
+    catalog = context.host.catalog
+    state = catalog.evacuations.state_of(ZONE, context.host.clock.monotonic())
+    assert catalog.changed_zones == [ZONE]
+    assert (state.is_evacuated, state.remaining_seconds) == (True, seconds)
+
+
 @then("the evacuation host learned of the return of z1 {seconds:g} s ago")
 def then_learned(context, seconds):
     returned_at = context.host.catalog.evacuations.returned_at(ZONE)
