ctl: show evacuated zones and cold servers in nodes

Cause: operators had to read each node's /status page. Change: hornbeamdeal-ctl nodes prints since when zones are evacuated, the revision, or the time left if the store has lost the request, and cold servers; /status has unconfirmed_ms. Nodes of an earlier build are shown as before.

--- a/hornbeamdeal/ctl/_nodes.py
+++ b/hornbeamdeal/ctl/_nodes.py
@@ -90,11 +90,22 @@
         parts.append(f"reads the store (position {status['reader_position']})")
     if status["servers_out"]:
         parts.append("out: " + " ".join(status["servers_out"]))
+    # Nodes of an earlier build report neither evacuations nor cold servers.
+    parts += [_evacuation_text(zone) for zone in status.get("zones_evacuated", ())]
+    if status.get("servers_cold"):
+        parts.append("cold: " + " ".join(status["servers_cold"]))
     if status["version"] != newest:
         parts.append(f"lags behind version {newest}")
     return ", ".join(parts)
 
 
+def _evacuation_text(zone: dict[str, Any]) -> str:
+    text = f"{zone['zone']} evacuated for {zone['since_ms'] / 1000:.0f} s"
+    if zone.get("unconfirmed_ms"):
+        return f"{text} (lost by the store, ends in {zone['unconfirmed_ms']} ms)"
+    return f"{text} (revision {zone['revision']})"
+
+
 def _server_line(server: dict[str, Any]) -> str:
     parts = [f"  {server['server']} ({server['zone']}): {server['state']}"]
     parts.append(f"{server['under_way']} requests under way here")
--- a/hornbeamdeal/platform/_pages.py
+++ b/hornbeamdeal/platform/_pages.py
@@ -80,13 +80,14 @@
         evacuations = self.node.catalog.evacuations
         return [
             {
-                "zone": zone,
-                "revision": evacuations.records_by_zone[zone].revision,
+                "zone": state.zone,
+                "revision": state.revision,
                 "since_ms": round(
-                    1000 * (now - evacuations.records_by_zone[zone].learned_at)
+                    1000 * (now - evacuations.records_by_zone[state.zone].learned_at)
                 ),
+                "unconfirmed_ms": round(1000 * state.remaining_seconds),
             }
-            for zone in evacuations.evacuated_zones
+            for state in evacuations.evacuated_states(now)
         ]
 
     def _gauges(self) -> dict[str, float]:
--- a/tests/ctl/ctl.feature
+++ b/tests/ctl/ctl.feature
@@ -83,6 +83,19 @@
     And ctl printed "reads the store (position 0)"
     And ctl printed "1 behind, 0 unreachable, 1 reading"
 
+  Scenario: evacuated zones and cold servers are shown
+    Given a ctl node "front-1" at version 7 that is 40 ms old and reads the store
+    And the ctl node has z1 evacuated for 90 s at revision 14 and server i-03 cold
+    When ctl runs "nodes" on the nodes
+    Then ctl exits with 0 and prints "z1 evacuated for 90 s (revision 14), cold: i-03"
+
+  Scenario: an evacuation that the store has lost is shown with its end
+    Guards against an operator who learns of the loss only from new flows to the zone.
+    Given a ctl node "front-1" at version 7 that is 40 ms old and reads the store
+    And the ctl node has z1 evacuated for 90 s, lost by the store and ending in 25000 ms
+    When ctl runs "nodes" on the nodes
+    Then ctl exits with 0 and prints "z1 evacuated for 90 s (lost by the store, ends in 25000 ms)"
+
   Scenario: a node explains what would happen to an opening packet
     Given a ctl node "front-1" at version 7 that is 40 ms old and reads the store
     When ctl asks the node about an opening packet to "198.18.0.1:443"
--- a/tests/steps/ctl_nodes_steps.py
+++ b/tests/steps/ctl_nodes_steps.py
@@ -75,6 +75,29 @@
     start_node(context, name, version, age, reads_the_store=False)
 
 
+def set_evacuation(context, revision, since_ms, unconfirmed_ms):
+    zone = {"zone": "z1", "revision": revision, "since_ms": since_ms}
+    zone["unconfirmed_ms"] = unconfirmed_ms
+    context.nodes[-1].status["zones_evacuated"] = [zone]
+
+
+@given(
+    "the ctl node has z1 evacuated for {seconds:d} s at revision {revision:d} and server"
+    " {server} cold"
+)
+def given_evacuation(context, seconds, revision, server):
+    set_evacuation(context, revision, 1000 * seconds, 0)
+    context.nodes[-1].status["servers_cold"] = [server]
+
+
+@given(
+    "the ctl node has z1 evacuated for {seconds:d} s, lost by the store and ending in"
+    " {remaining_ms:d} ms"
+)
+def given_lost_evacuation(context, seconds, remaining_ms):
+    set_evacuation(context, 0, 1000 * seconds, remaining_ms)
+
+
 @given("a ctl log of a node")
 def given_log(context):
     context.execute_steps(
