dsr: keep which services have evacuated servers

Cause: each opening refused while zones are evacuated went through all servers: 602 us with 15,000 servers, which at 90 openings a second for each host is 5.4% of a core, of a budget of 1.1%. Change: the set is built with the other indexes, when the catalog changes.

--- a/hornbeamdeal/dsr/_catalog.py
+++ b/hornbeamdeal/dsr/_catalog.py
@@ -78,6 +78,7 @@
         "_accepting_servers_by_service",
         "_cold_until_by_id",
         "_copied_revision",
+        "_evacuated_services",
         "_removed_revisions_by_id",
     )
 
@@ -99,6 +100,8 @@
         self.removals_by_id: dict[str, Removal] = {}
         self.servers_by_handle: dict[int, Server] = {}
         self._accepting_servers_by_service: dict[str, list[Server]] = {}
+        # Kept because a refused opening asks for it, and there are 15,000 servers.
+        self._evacuated_services: set[str] = set()
         # When servers stop being cold, counted from when their entries were learned. The
         # entry was written earlier, so this is never too soon.
         self._cold_until_by_id: dict[str, float] = {}
@@ -126,11 +129,7 @@
 
     def has_evacuated_servers(self, service: str) -> bool:
         """Return whether servers of a service get no flows as zones are evacuated."""
-        evacuations = self.evacuations
-        servers = self.servers_by_id.values()
-        return any(
-            s.service == service and evacuations.is_evacuated(s.zone) for s in servers
-        )
+        return service in self._evacuated_services
 
     def find_service(self, name: str) -> Service | None:
         """Return a service's properties, or None if the configuration has none."""
@@ -395,12 +394,15 @@
         listed = sorted(self.servers_by_id.values(), key=lambda s: s.server_id)
         self.servers_by_handle = {server.handle: server for server in gone}
         self._accepting_servers_by_service = {}
+        self._evacuated_services = set()
         listed_by_handle: dict[int, Server] = {}
         for server in listed:
             if listed_by_handle.setdefault(server.handle, server) is not server:
                 continue
             is_withheld = self.provisional.is_withheld(server.server_id)
             is_evacuated = self.evacuations.is_evacuated(server.zone)
+            if is_evacuated:
+                self._evacuated_services.add(server.service)
             if not (server.is_draining or is_withheld or is_evacuated):
                 self._accepting_servers_by_service.setdefault(
                     server.service, []
