--- a/tests/platform/node.feature
+++ b/tests/platform/node.feature
@@ -27,6 +27,14 @@
     Then requests are served again within 4 s
     And no guarantee is violated
 
+  Scenario: openings are refused while all zones are evacuated
+    Given real nodes that serve callers
+    When all zones of real nodes are evacuated for 7 s
+    Then openings were refused as "zone_evacuated" from 5 s to 7 s after it
+    And each real node's status showed both zones and how long
+    And requests are served again within 12 s
+    And no guarantee is violated
+
   Scenario: an invalid settings file ends the start and the error names the field
     When a node is started with a settings file without a store
     Then the node exits with 2 and names "platform.address"
--- a/tests/steps/platform_node_steps.py
+++ b/tests/steps/platform_node_steps.py
@@ -4,14 +4,22 @@
 import subprocess
 import sys
 import tempfile
+import urllib.request
 from pathlib import Path
 
 import trio
 from behave import given, then, when
-from fakes.platform_world import REPOSITORY, PlatformWorld
+from fakes.platform_world import (
+    EVACUATION_SECONDS,
+    METRICS_PORT,
+    REPOSITORY,
+    PlatformWorld,
+)
 
 WARM_UP_SECONDS = 2.5
 RUN_ON_SECONDS = 3.0
+# The pages of all nodes are read within a second after the bound.
+READ_BY_SECONDS = EVACUATION_SECONDS + 1.0
 
 
 @given("real nodes that serve callers")
@@ -63,6 +71,50 @@
     run_scenario(context, restart)
 
 
+def read_status(node):
+    url = f"http://{node.ip}:{METRICS_PORT}/status"
+    with urllib.request.urlopen(url, timeout=2) as response:
+        return json.load(response)
+
+
+@when("all zones of real nodes are evacuated for {seconds:d} s")
+def when_evacuated(context, seconds):
+    async def evacuate(world):
+        context.zones = sorted({server.zone for server in world.servers})
+        for zone in context.zones:
+            world.evacuate(zone)
+        await trio.sleep(EVACUATION_SECONDS)
+        context.statuses = [
+            await trio.to_thread.run_sync(read_status, node) for node in world.nodes
+        ]
+        await trio.sleep_until(context.acted_at + seconds)
+        for zone in context.zones:
+            world.end_evacuation(zone)
+        await trio.sleep(EVACUATION_SECONDS)
+
+    run_scenario(context, evacuate)
+
+
+@then('openings were refused as "{reason}" from {start:d} s to {end:d} s after it')
+def then_refused(context, reason, start, end):
+    begun = context.acted_at
+    openings = context.world.openings
+    served = [s for at, s in openings if begun + start <= at < begun + end]
+    assert served and not any(served), (len(served), served.count(True))
+    logs = "".join(node.log() for node in context.world.nodes)
+    assert "event=opening_refused" in logs and f"reason={reason}" in logs
+
+
+@then("each real node's status showed both zones and how long")
+def then_status(context):
+    for status in context.statuses:
+        shown = status["zones_evacuated"]
+        assert [zone["zone"] for zone in shown] == context.zones, status
+        for zone in shown:
+            assert 0 <= zone["since_ms"] <= 1000 * READ_BY_SECONDS
+            assert zone["revision"] > 0 and zone["unconfirmed_ms"] == 0
+
+
 @when("one of their servers stops answering")
 def when_silent(context):
     async def silence(world):
