platform: log evacuations that a node finds at its start

Cause: the first read of the catalog wrote no zone_evacuated, so that the log of a node which started during an evacuation did not tell why it refused callers or left a zone out. Change: the start logs changed zones as the reader does. Result: the scenario with a node that starts during an evacuation failed before and passes; it also shows that the node opened no flow to the zone.

--- a/hornbeamdeal/dsr/__init__.py
+++ b/hornbeamdeal/dsr/__init__.py
@@ -11,7 +11,7 @@
     {
         "_arrival_bound": ["ArrivalBound"],
         "_base": ["CallerPacket", "Journal", "PacketCodec", "Transmit"],
-        "_catalog": ["Catalog"],
+        "_catalog": ["Catalog", "log_changed_zones"],
         "_catalog_reader": ["CatalogReader"],
         "_driver": ["Node"],
         "_eligibility": ["Eligibility"],
--- a/hornbeamdeal/dsr/_catalog.py
+++ b/hornbeamdeal/dsr/_catalog.py
@@ -1,5 +1,6 @@
 """One host's replica of the routes and servers, and its age."""
 
+from ._base import Journal
 from ._evacuations import ZoneEvacuations
 from ._provisional import (
     ENTRY_LIFETIME_SECONDS,
@@ -408,3 +409,18 @@
                     server.service, []
                 ).append(server)
         self.servers_by_handle.update(listed_by_handle)
+
+
+def log_changed_zones(catalog: Catalog, journal: Journal, now: float) -> None:
+    """Log the zones that the latest update or expiry told of."""
+    for zone in catalog.changed_zones:
+        state = catalog.evacuations.state_of(zone, now)
+        name = "zone_evacuated" if state.is_evacuated else "zone_returned"
+        journal.count("zone_changes", name)
+        journal.event(
+            name,
+            zone=zone,
+            revision=state.revision,
+            epoch=catalog.epoch,
+            unconfirmed_ms=round(1000 * state.remaining_seconds),
+        )
--- a/hornbeamdeal/dsr/_catalog_reader.py
+++ b/hornbeamdeal/dsr/_catalog_reader.py
@@ -7,7 +7,7 @@
 from hornbeamdeal.kernel import Clock
 
 from ._base import Journal
-from ._catalog import Catalog
+from ._catalog import Catalog, log_changed_zones
 from ._packet_io import log_unexpected_error
 from ._read_scheduler import ReadScheduler
 from ._records import RouteTable, Update
@@ -88,7 +88,7 @@
         its flows are reset without waiting for it to register again.
         """
         now = self.clock.monotonic()
-        self._log_zones(now)
+        log_changed_zones(self.catalog, self.journal, now)
         for change, server in changes:
             if change == "removed":
                 if self.server_health.died_recently(server.server_id, now):
@@ -105,19 +105,6 @@
                 epoch=self.catalog.epoch,
             )
 
-    def _log_zones(self, now: float) -> None:
-        for zone in self.catalog.changed_zones:
-            state = self.catalog.evacuations.state_of(zone, now)
-            name = "zone_evacuated" if state.is_evacuated else "zone_returned"
-            self.journal.count("zone_changes", name)
-            self.journal.event(
-                name,
-                zone=zone,
-                revision=state.revision,
-                epoch=self.catalog.epoch,
-                unconfirmed_ms=round(1000 * state.remaining_seconds),
-            )
-
     def expire(self) -> None:
         """Remove or release provisional servers whose time is over."""
         self.handle_server_changes(self.catalog.expire(self.clock.monotonic()))
--- a/hornbeamdeal/platform/_startup.py
+++ b/hornbeamdeal/platform/_startup.py
@@ -10,7 +10,13 @@
 import time
 from collections.abc import Callable
 
-from hornbeamdeal.dsr import Forwarder, Journal, SourceError, forward_pending
+from hornbeamdeal.dsr import (
+    Forwarder,
+    Journal,
+    SourceError,
+    forward_pending,
+    log_changed_zones,
+)
 from hornbeamdeal.kernel import Clock, Endpoint
 from hornbeamdeal.wire import BlockingHttpClient, run_blocking
 
@@ -63,6 +69,7 @@
         client.close()
     now = time.monotonic()
     forwarder.catalog.apply(update, now)
+    log_changed_zones(forwarder.catalog, journal, now)
     forwarder.catalog.confirm(now if may_be_stale else started)
     return ""
 
--- a/tests/platform/node.feature
+++ b/tests/platform/node.feature
@@ -35,6 +35,13 @@
     And requests are served again within 12 s
     And no guarantee is violated
 
+  Scenario: a node that starts during an evacuation opens no flow to the zone
+    Guards against a start that serves callers before it knows of the evacuation.
+    Given real nodes that serve callers
+    When a real node starts again 5 s after zone z1 was evacuated
+    Then the node's log tells of the evacuation and of no flow opened to zone z1
+    And no guarantee is violated
+
   Scenario: an invalid settings file ends the start and the error names the field
     When a node is started with a settings file without a store
     Then the node exits with 2 and names "platform.address"
--- a/tests/steps/platform_node_steps.py
+++ b/tests/steps/platform_node_steps.py
@@ -105,6 +105,29 @@
     assert "event=opening_refused" in logs and f"reason={reason}" in logs
 
 
+@when("a real node starts again {seconds:d} s after zone {zone} was evacuated")
+def when_start_evacuated(context, seconds, zone):
+    async def restart(world):
+        world.evacuate(zone)
+        await trio.sleep(seconds)
+        context.log_before = world.nodes[0].log()
+        world.nodes[0].kill()
+        world.nodes[0].start()
+
+    run_scenario(context, restart)
+
+
+@then("the node's log tells of the evacuation and of no flow opened to zone {zone}")
+def then_log_tells(context, zone):
+    log = context.world.nodes[0].log().removeprefix(context.log_before)
+    lines = log.partition("event=starting")[2].splitlines()
+    assert any("event=zone_evacuated" in e and f"zone={zone}" in e for e in lines)
+    placed = [line for line in lines if "event=flow_placed" in line]
+    in_zone = [s.server_id for s in context.world.servers if s.zone == zone]
+    assert placed
+    assert not [line for line in placed if any(i in line for i in in_zone)]
+
+
 @then("each real node's status showed both zones and how long")
 def then_status(context):
     for status in context.statuses:
