soak: evacuate and return zones beside the other faults

Cause: the soak knew nothing of evacuations. Change: zones are evacuated one after the other, some returned at once, the last after all other faults, by a generator of their own, so that the faults of known seeds stay. Servers check that no opening comes later than 5 s after the evacuation until its end, where the node's process, the store and any node's connection were undisturbed for 4 s. A new route's failed opening is excused only if every server outside evacuated zones drains or is silent, as the refusal is then right. Nodes without evacuations, or whose peers hear nothing of them, are planted faults.

--- a/tests/fakes/platform_world.py
+++ b/tests/fakes/platform_world.py
@@ -39,6 +39,8 @@
 # Time limits of the deployments that the nodes are built for: to apply a drain or a
 # configuration change.
 DRAIN_SECONDS = CONFIG_SECONDS = 3.0
+# The same for an evacuation.
+EVACUATION_SECONDS = 5.0
 # The time limits are checked only once nodes and store have been without faults for
 # longer than this.
 STABILIZATION_SECONDS = 4.0
@@ -61,7 +63,7 @@
             Endpoint(world.ip(STORE, 1), STORE_PORT),
         )
         self.process = None
-        self.stable_since = trio.current_time()
+        self.stable_since = self.process_stable_since = trio.current_time()
         self.log_path = world.folder / f"{self.name}.log"
 
     def start(self):
@@ -88,14 +90,27 @@
             )
         self.record_fault()
 
-    def record_fault(self, seconds=0.0):
-        """Record a fault of this node that lasts `seconds` from now."""
-        self.stable_since = max(self.stable_since, trio.current_time() + seconds)
+    def record_fault(self, seconds=0.0, is_connection=False):
+        """Record a fault of this node, or of its connection to the store alone.
+
+        It lasts `seconds` from now.
+        """
+        until = trio.current_time() + seconds
+        self.stable_since = max(self.stable_since, until)
+        if not is_connection:
+            self.process_stable_since = max(self.process_stable_since, until)
 
     def is_stable(self):
         """Return whether the node had no fault for the stabilization time."""
         return trio.current_time() - self.stable_since > STABILIZATION_SECONDS
 
+    def is_process_stable(self):
+        """Return whether the process had no fault for the stabilization time.
+
+        It then hears from its peers, even if it can't reach the store.
+        """
+        return trio.current_time() - self.process_stable_since > STABILIZATION_SECONDS
+
     def signal(self, number):
         """Record a fault and send a signal to the process if it runs."""
         self.record_fault()
@@ -136,6 +151,7 @@
             "bounds": {
                 "config_apply_ms": 3000,
                 "drain_ms": 3000,
+                "evacuation_ms": round(1000 * EVACUATION_SECONDS),
                 "grace_s": GRACE_SECONDS,
                 "flow_lifetime_s": 60,
             },
@@ -181,6 +197,7 @@
         sequence, ack, length = _fields(packet)
         if flags & FLAG_SYN:
             self._check_drain(node_ip)
+            self._check_evacuation(node_ip)
             self.flows.setdefault(flow, {"next": 1, "answered": 0})
             await self._answer(packet, FLAG_SYN | FLAG_ACK, 0, 1)
             return
@@ -211,6 +228,20 @@
                 f"{node.name} opened a flow {seconds:.1f} s after drain"
             )
 
+    def _check_evacuation(self, node_ip):
+        since = self.world.evacuated_since_by_zone.get(self.zone)
+        if since is None or trio.current_time() - since <= EVACUATION_SECONDS:
+            return
+        node = self.world.nodes_by_ip[node_ip]
+        is_informed = self.world.is_store_stable() and (
+            node.is_process_stable() and any(n.is_stable() for n in self.world.nodes)
+        )
+        if is_informed:
+            seconds = trio.current_time() - since
+            self.world.record_violation(
+                f"{node.name} opened a flow {seconds:.1f} s after evacuation"
+            )
+
     async def _answer(self, packet, flags, sequence, ack, data=b""):
         ends = packet[22:28] + packet[16:22]
         head = sequence.to_bytes(4, "little") + ack.to_bytes(4, "little")
@@ -350,6 +381,7 @@
         self.callers = [Caller(self, i) for i in range(callers)]
         self.ports = {443}
         self.port_changed_at = {}
+        self.evacuated_since_by_zone, self.returned_at_by_zone = {}, {}
         self.version = 1
         self.store_stable_since = 0.0
         self.sent = set()
@@ -410,6 +442,10 @@
             if f"servers/{server.server_id}" in keys:
                 state = "ready" if server.draining_since is None else "draining"
                 self.store.put(f"servers/{server.server_id}", server.entry(state))
+        for zone in sorted({server.zone for server in self.servers}):
+            is_listed = evacuation_key(zone) in self.store.items_by_key
+            if is_listed != (zone in self.evacuated_since_by_zone):
+                self._write_evacuation(zone, not is_listed)
 
     def _write_routes(self):
         routes = [("198.18.0.1", port, SERVICE) for port in sorted(self.ports)]
@@ -432,6 +468,39 @@
         server.is_silent = False
         self.store.put(f"servers/{server.server_id}", server.entry())
 
+    def evacuate(self, zone):
+        """Write the operator's request that a zone gets no new flows."""
+        self._write_evacuation(zone, True)
+        self.evacuated_since_by_zone[zone] = trio.current_time()
+
+    def end_evacuation(self, zone):
+        """Remove the request, which a restored store may have lost already."""
+        if evacuation_key(zone) in self.store.items_by_key:
+            self._write_evacuation(zone, False)
+        del self.evacuated_since_by_zone[zone]
+        self.returned_at_by_zone[zone] = trio.current_time()
+
+    def _write_evacuation(self, zone, is_evacuated):
+        if is_evacuated:
+            self.store.put(evacuation_key(zone), {})
+        else:
+            self.store.delete(evacuation_key(zone))
+
+    def _may_lack_servers(self):
+        """Return whether all servers outside evacuated zones may be out of use.
+
+        Nodes may learn of the end of an evacuation as late as of its start.
+        """
+        ended = trio.current_time() - EVACUATION_SECONDS
+        zones = {z for z, at in self.returned_at_by_zone.items() if at > ended}
+        zones |= set(self.evacuated_since_by_zone)
+        return bool(zones) and all(
+            server.zone in zones
+            or server.draining_since is not None
+            or self._was_silent(server)
+            for server in self.servers
+        )
+
     def record_store_fault(self, seconds=0.0):
         """Record a fault of the store that lasts `seconds` from now."""
         until = trio.current_time() + seconds
@@ -486,6 +555,7 @@
         if served or changed_at is None or at - changed_at <= CONFIG_SECONDS:
             return
         are_stable = all(n.is_stable() for n in self.nodes) and self.is_store_stable()
+        are_stable = are_stable and not self._may_lack_servers()
         if are_stable and at - changed_at < CONFIG_SECONDS + STABILIZATION_SECONDS:
             self.record_violation(
                 f"a flow to new port {port} failed {at - changed_at:.1f} s after"
@@ -497,6 +567,11 @@
         return sum(at >= start for at in self.served)
 
 
+def evacuation_key(zone):
+    """Return the store's key that requests a zone's evacuation."""
+    return f"op/evacuate/{zone}"
+
+
 def _fields(packet):
     """Return the sequence number, the acknowledgement number and the data length."""
     sequence = int.from_bytes(packet[:4], "little")
--- a/tests/fakes/weakened_node.py
+++ b/tests/fakes/weakened_node.py
@@ -1,11 +1,18 @@
 """Runs a node without one mechanism, to check that the soak then fails.
 
-Arguments: the packet address, then the mechanism: freshness, drain, handle or epoch.
+Arguments: the packet address, then the mechanism: freshness, drain, handle, epoch,
+evacuation or evacuation_news.
 """
 
 import sys
 
-from hornbeamdeal.dsr import _catalog, _forwarder, _read_scheduler
+from hornbeamdeal.dsr import (
+    _catalog,
+    _evacuations,
+    _forwarder,
+    _peer_sync,
+    _read_scheduler,
+)
 from hornbeamdeal.platform import _store
 from hornbeamdeal.platform.main import main
 
@@ -46,6 +53,23 @@
     _catalog.Catalog.lose_history = lambda self: None
 
 
+def without_evacuation():
+    """Place new flows also on servers of evacuated zones."""
+    _evacuations.ZoneEvacuations.is_evacuated = lambda self, zone: False
+
+
+def without_evacuation_news():
+    """Tell peers nothing of evacuations, in updates and in full copies."""
+    encode_news = _peer_sync.encode_news
+
+    def encode_without_zones(update, **fields):
+        message = encode_news(update, **fields)
+        message.zones = []
+        return message
+
+    _peer_sync.encode_news = encode_without_zones
+
+
 if __name__ == "__main__":
     globals()[f"without_{sys.argv[2]}"]()
     main(sys.argv[1])
--- a/tests/platform/soak.feature
+++ b/tests/platform/soak.feature
@@ -19,8 +19,10 @@
     Then the soak reports "<failure>"
 
     Examples:
-      | mechanism | seed | failure      |
-      | freshness | 2    | after drain  |
-      | drain     | 2    | after drain  |
-      | handle    | 1    | a flow moved |
-      | epoch     | 8    | after drain  |
+      | mechanism       | seed | failure          |
+      | freshness       | 2    | after drain      |
+      | drain           | 2    | after drain      |
+      | handle          | 1    | a flow moved     |
+      | epoch           | 8    | after drain      |
+      | evacuation      | 1    | after evacuation |
+      | evacuation_news | 3    | after evacuation |
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -33,6 +33,7 @@
         self.random = random.Random(seed)
         # Of its own, so that the other faults of a known seed stay the same.
         self.restore_random = random.Random(f"restore {seed}")
+        self.evacuation_random = random.Random(f"evacuation {seed}")
         self.next_port = FIRST_ADDED_PORT
         self.log = []
 
@@ -56,6 +57,7 @@
         end_time = trio.current_time() + FAULT_SECONDS
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.restore_store)
+            nursery.start_soon(self.evacuate_zones)
             while trio.current_time() < end_time:
                 inject_fault = self.random.choice(fault_kinds)
                 self.log.append(f"{trio.current_time():.2f} {inject_fault.__name__}")
@@ -106,10 +108,10 @@
                 ["silent", "responses_held", "reset", "refuse"]
             )
         seconds = self.random.uniform(0.5, 5.0)
-        node.record_fault(seconds)
+        node.record_fault(seconds, is_connection=True)
         await trio.sleep(seconds)
         node.proxy.mode, node.proxy.delay = "open", 0.0
-        node.record_fault()
+        node.record_fault(is_connection=True)
 
     async def disrupt_store(self):
         store = self.world.store
@@ -152,6 +154,25 @@
         await trio.sleep(uniform(8.0, 10.0))
         world.restore(server)
 
+    async def evacuate_zones(self):
+        """Evacuate and return zones one after the other, some at once, some for long.
+
+        The last evacuation outlasts the other faults, so that its time limit is checked.
+        """
+        choice, uniform = self.evacuation_random.choice, self.evacuation_random.uniform
+        zones = sorted({server.zone for server in self.world.servers})
+        end_time = trio.current_time() + FAULT_SECONDS
+        while trio.current_time() < end_time:
+            await trio.sleep(uniform(0.0, 3.0))
+            await self._evacuate(choice(zones), choice((0.0, uniform(0.1, 8.0))))
+        await self._evacuate(choice(zones), uniform(10.0, 12.0))
+
+    async def _evacuate(self, zone, seconds):
+        self.log.append(f"{trio.current_time():.2f} evacuate {zone} {seconds:.2f} s")
+        self.world.evacuate(zone)
+        await trio.sleep(seconds)
+        self.world.end_evacuation(zone)
+
     async def drain_server(self):
         server = self.random.choice(self.world.servers[:2])
         self.world.drain(server)
@@ -215,7 +236,8 @@
         first: First seed.
         nodes: Number of node processes.
         callers: Number of callers.
-        weakened: Mechanism that the nodes run without: freshness, drain or handle.
+        weakened: Mechanism that the nodes run without: freshness, drain,
+            handle, epoch, evacuation or evacuation_news.
         out: Folder for the logs of seeds that failed.
         block: Address block, 0 to 24; runs with different blocks may run at once.
         quiet: Print only seeds that failed.
