--- a/hornbeamdeal/dsr/_catalog.py
+++ b/hornbeamdeal/dsr/_catalog.py
@@ -1,5 +1,6 @@
 """One host's replica of the routes and servers, and its age."""
 
+from ._base import Journal
 from ._evacuations import ZoneEvacuations
 from ._provisional import (
     ENTRY_LIFETIME_SECONDS,
@@ -78,6 +79,7 @@
         "_accepting_servers_by_service",
         "_cold_until_by_id",
         "_copied_revision",
+        "_evacuated_services",
         "_removed_revisions_by_id",
     )
 
@@ -99,6 +101,8 @@
         self.removals_by_id: dict[str, Removal] = {}
         self.servers_by_handle: dict[int, Server] = {}
         self._accepting_servers_by_service: dict[str, list[Server]] = {}
+        # Kept because a refused opening asks for it, and there are 15,000 servers.
+        self._evacuated_services: set[str] = set()
         # When servers stop being cold, counted from when their entries were learned. The
         # entry was written earlier, so this is never too soon.
         self._cold_until_by_id: dict[str, float] = {}
@@ -126,11 +130,7 @@
 
     def has_evacuated_servers(self, service: str) -> bool:
         """Return whether servers of a service get no flows as zones are evacuated."""
-        evacuations = self.evacuations
-        servers = self.servers_by_id.values()
-        return any(
-            s.service == service and evacuations.is_evacuated(s.zone) for s in servers
-        )
+        return service in self._evacuated_services
 
     def find_service(self, name: str) -> Service | None:
         """Return a service's properties, or None if the configuration has none."""
@@ -201,12 +201,12 @@
             if update.routes is not None:
                 self._update_routes(update.routes)
             return []
-        changes, superseded_ids = [], []
+        changes, superseded_ids, evacuated_zones = [], [], []
         is_new_epoch = update.epoch > self.epoch
         if is_new_epoch:
             superseded_ids = self._superseded_ids(update.servers)
             changes += self._start_history(update)
-            self.evacuations.start_epoch(now)
+            evacuated_zones = self.evacuations.start_epoch(now)
         for server in update.servers:
             if self._add_server(server, now):
                 changes.append(("listed", server))
@@ -222,6 +222,9 @@
         self.changed_zones = self.evacuations.apply(
             update.zones, update.revision if lists_all else None, now
         )
+        # Those that the store has lost are news as well.
+        lost_zones = [z for z in evacuated_zones if z not in self.changed_zones]
+        self.changed_zones += lost_zones
         if update.routes is not None:
             self._update_routes(update.routes)
         self.revision = max(self.revision, update.revision)
@@ -392,14 +395,32 @@
         listed = sorted(self.servers_by_id.values(), key=lambda s: s.server_id)
         self.servers_by_handle = {server.handle: server for server in gone}
         self._accepting_servers_by_service = {}
+        self._evacuated_services = set()
         listed_by_handle: dict[int, Server] = {}
         for server in listed:
             if listed_by_handle.setdefault(server.handle, server) is not server:
                 continue
             is_withheld = self.provisional.is_withheld(server.server_id)
             is_evacuated = self.evacuations.is_evacuated(server.zone)
+            if is_evacuated:
+                self._evacuated_services.add(server.service)
             if not (server.is_draining or is_withheld or is_evacuated):
                 self._accepting_servers_by_service.setdefault(
                     server.service, []
                 ).append(server)
         self.servers_by_handle.update(listed_by_handle)
+
+
+def log_changed_zones(catalog: Catalog, journal: Journal, now: float) -> None:
+    """Log the zones that the latest update or expiry told of."""
+    for zone in catalog.changed_zones:
+        state = catalog.evacuations.state_of(zone, now)
+        name = "zone_evacuated" if state.is_evacuated else "zone_returned"
+        journal.count("zone_changes", name)
+        journal.event(
+            name,
+            zone=zone,
+            revision=state.revision,
+            epoch=catalog.epoch,
+            unconfirmed_ms=round(1000 * state.remaining_seconds),
+        )
