Bound the openings of cold servers under differing views, pauses and restored stores

Cause: review of slow start against docs/load-and-zones.md. An entry with no cold time left ended the warm-up at once. The entry of a restored store ended a cold time. A host that started while cut off believed to be alone, and one that stopped stayed a home host. Duplicates and a trial with its own placement sent two packets at once, duplicates also to evacuated zones. Openings counted from when they were decided, not from when they leave a busy link, and not at all if the server had not been known as cold. Later copies were refused although another host may have placed the first. Each opening examined every server.

--- a/hornbeamdeal/dsr/_catalog.py
+++ b/hornbeamdeal/dsr/_catalog.py
@@ -61,14 +61,21 @@
         Zones whose servers get no new flows.
     changed_zones : list of str
         Zones whose evacuation began or ended with the latest update or expiry.
+    cold_until_by_id : dict of str to float
+        When servers stop or stopped being cold, kept until they have warmed up. Counted
+        from when the entry was learned, which was written earlier, so never too soon.
+    latest_cold_until : float
+        No server is cold by its entry from this monotonic time on.
     """
 
     __slots__ = (
         "changed_zones",
+        "cold_until_by_id",
         "confirmed_at",
         "epoch",
         "evacuations",
         "flow_lifetime",
+        "latest_cold_until",
         "provisional",
         "servers_by_handle",
         "removals_by_id",
@@ -76,7 +83,6 @@
         "routes",
         "servers_by_id",
         "_accepting_servers_by_service",
-        "_cold_until_by_id",
         "_copied_revision",
         "_removed_revisions_by_id",
     )
@@ -99,9 +105,8 @@
         self.removals_by_id: dict[str, Removal] = {}
         self.servers_by_handle: dict[int, Server] = {}
         self._accepting_servers_by_service: dict[str, list[Server]] = {}
-        # When servers stop being cold, counted from when their entries were learned. The
-        # entry was written earlier, so this is never too soon.
-        self._cold_until_by_id: dict[str, float] = {}
+        self.cold_until_by_id: dict[str, float] = {}
+        self.latest_cold_until = float("-inf")
         # Revision of the latest full copy: a server not listed since has left.
         self._copied_revision = 0
         # Revision and time of each removal, including servers never listed here.
@@ -137,8 +142,8 @@
         return self.routes.services_by_name.get(name) if self.routes else None
 
     def cold_until(self, server_id: str) -> float:
-        """Return when a server stops being cold, minus infinity if it is not."""
-        return self._cold_until_by_id.get(server_id, float("-inf"))
+        """Return when a server stops or stopped being cold, minus infinity if not."""
+        return self.cold_until_by_id.get(server_id, float("-inf"))
 
     def is_gone(self, server: Server, now: float) -> bool:
         """Return whether a removed server's flows are certainly lost.
@@ -208,7 +213,7 @@
             changes += self._start_history(update)
             self.evacuations.start_epoch(update.base_revision is None, now)
         for server in update.servers:
-            if self._add_server(server, now):
+            if self._add_server(server, now, is_new_epoch):
                 changes.append(("listed", server))
         for server_id in superseded_ids:
             self.provisional.withhold(server_id, now)
@@ -337,7 +342,7 @@
                     removed.setdefault(server_id, update.revision)
         return removed
 
-    def _add_server(self, server: Server, now: float) -> bool:
+    def _add_server(self, server: Server, now: float, is_new_epoch: bool) -> bool:
         known = self.servers_by_id.get(server.server_id)
         if known is not None and known.revision >= server.revision:
             return False
@@ -349,11 +354,26 @@
         self.provisional.release(server.server_id)
         self.removals_by_id.pop(server.server_id, None)
         self.servers_by_id[server.server_id] = server
+        self._update_cold_time(server, now, is_new_epoch)
+        return True
+
+    def _update_cold_time(self, server: Server, now: float, is_new_epoch: bool) -> None:
+        """Follow a server's new entry, which may tell that its cold time is over.
+
+        The end is kept, since the warm-up counts from it. The entry of a restored store
+        may be older than the server's latest start, so it only prolongs the cold time.
+        """
+        known = self.cold_until_by_id.get(server.server_id)
         if server.cold_seconds > 0:
-            self._cold_until_by_id[server.server_id] = now + server.cold_seconds
+            until = now + server.cold_seconds
+            if known is not None and is_new_epoch:
+                until = max(until, known)
+        elif known is None:
+            return
         else:
-            self._cold_until_by_id.pop(server.server_id, None)
-        return True
+            until = known if is_new_epoch else min(known, now)
+        self.cold_until_by_id[server.server_id] = until
+        self.latest_cold_until = max(self.latest_cold_until, until)
 
     def _remove_server(
         self, server_id: str, revision: int, now: float
@@ -367,7 +387,7 @@
         if known is None:
             return None
         del self.servers_by_id[server_id]
-        self._cold_until_by_id.pop(server_id, None)
+        self.cold_until_by_id.pop(server_id, None)
         self.provisional.release(server_id)
         self.removals_by_id[server_id] = Removal(known, revision, now)
         return known
@@ -376,6 +396,10 @@
         if self.routes is None or routes.version > self.routes.version:
             self.routes = routes
 
+    def _warm_up_seconds(self, server_id: str) -> float:
+        service = self.find_service(self.servers_by_id[server_id].service)
+        return service.cold_start_seconds if service else 0.0
+
     def _rebuild_indexes(self, now: float) -> None:
         retention = self.flow_lifetime + RETENTION_MARGIN_SECONDS
         for server_id, removal in list(self.removals_by_id.items()):
@@ -386,6 +410,11 @@
             for server_id, (revision, at) in self._removed_revisions_by_id.items()
             if now - at <= retention
         }
+        self.cold_until_by_id = {
+            server_id: until
+            for server_id, until in self.cold_until_by_id.items()
+            if now < until + self._warm_up_seconds(server_id)
+        }
         self.provisional.set_unconfirmed(
             {i for i, s in self.servers_by_id.items() if s.revision == NO_REVISION}, now
         )
--- a/hornbeamdeal/dsr/_eligibility.py
+++ b/hornbeamdeal/dsr/_eligibility.py
@@ -35,9 +35,20 @@
     def permitted_servers(self, service: str, now: float) -> list[Server]:
         """Return the servers of a service to which a flow may be opened now."""
         accepting = self.catalog.accepting_servers(service)
-        if not self.slow_start.is_enabled:
-            return accepting
-        return [s for s in accepting if self.slow_start.permits(s, now)]
+        return self.slow_start.permitted(service, accepting, now)
+
+    def may_resend(self, server: Server, now: float) -> bool:
+        """Return whether a server may get another copy of an opening packet."""
+        is_evacuated = self.catalog.evacuations.is_evacuated(server.zone)
+        return not is_evacuated and self.slow_start.permits(server, now)
+
+    def without_spent(
+        self, permitted: list[Server], trial_server: Server | None, now: float
+    ) -> list[Server]:
+        """Return the servers that still have room after a trial."""
+        if trial_server is None or self.slow_start.permits(trial_server, now):
+            return permitted
+        return [server for server in permitted if server is not trial_server]
 
     def servers_by_service(self, route: Route, now: float) -> dict[str, list[Server]]:
         """Return the permitted servers of the route's services that have any.
@@ -58,9 +69,7 @@
         """Return the candidates for placement, of which there is at least one."""
         untried = [server for server in permitted if server not in tried]
         usable = [s for s in untried if not self.server_health.is_out(s.server_id)]
-        if self.slow_start.is_enabled:
-            warm = [s for s in usable if not self.slow_start.is_warming(s, now)]
-            usable = warm or usable
+        usable = self.slow_start.without_warming(usable, now) or usable
         return usable or untried or permitted
 
     def missing_reason(self, route: Route) -> str:
--- a/hornbeamdeal/dsr/_forwarder.py
+++ b/hornbeamdeal/dsr/_forwarder.py
@@ -152,10 +152,17 @@
         if flow.tried_servers and (
             is_duplicate or arrived_at - flow.sent_at < MINIMUM_RETRANSMISSION_SECONDS
         ):
-            self._send_opening(packet, flow.tried_servers[-1], now)
+            self._resend_opening(packet, flow.tried_servers[-1], now)
             return
         self._place(packet, route, flow, now)
 
+    def _resend_opening(self, packet: CallerPacket, server: Server, now: float) -> None:
+        """Send a duplicate to the same server, which may have no room for it by now."""
+        if self.eligibility.may_resend(server, now):
+            self._send_opening(packet, server, now)
+        else:
+            self.journal.count("openings_dropped", "duplicate")
+
     def _place(
         self, packet: CallerPacket, route: Route, flow: Flow, now: float
     ) -> None:
@@ -167,17 +174,23 @@
             self._handle_unplaceable(packet, route, flow, now)
             return
         permitted = servers_by_service[self._pick_service(route, servers_by_service)]
+        trial_server = None
         if not flow.tried_servers:
             if not self.admission.admits(route, hash_caller(packet), now):
                 self._refuse(packet, "overload", now)
                 return
-            self._send_trial(packet, permitted, flow, now)
-        candidates = self.eligibility.prefer(permitted, flow.tried_servers, now)
+            trial_server = self._send_trial(packet, permitted, now)
+        # The trial counts, so that a cold server may have no room for another copy.
+        others = self.eligibility.without_spent(permitted, trial_server, now)
+        candidates = self.eligibility.prefer(
+            others or permitted, flow.tried_servers, now
+        )
         server = self.placement.choose(candidates, now)
         self.placement.record_placement(server, now)
         self.outstanding.start(flow, server, now)
         flow.tried_servers.append(server)
-        self._send_opening(packet, server, now)
+        if others:
+            self._send_opening(packet, server, now)
         flow.sent_at = self.link_queue.departure(now)
         self.journal.count(
             "flows_placed", "repeated" if flow.last_copy_number else "first"
@@ -219,22 +232,26 @@
         return round(1000 * (now - at)) if at > float("-inf") else -1
 
     def _send_trial(
-        self, packet: CallerPacket, permitted: list[Server], flow: Flow, now: float
-    ) -> None:
+        self, packet: CallerPacket, permitted: list[Server], now: float
+    ) -> Server | None:
         """Send the packet also to a server that is out, if its trial is due."""
         server = self.server_health.pick_trial_server(permitted, now)
         if server is not None:
             self._send_opening(packet, server, now)
             self.journal.count("flows_placed", "trial")
+        return server
 
     def _handle_unplaceable(
         self, packet: CallerPacket, route: Route, flow: Flow, now: float
     ) -> None:
-        if flow.tried_servers:
+        reason = self.eligibility.missing_reason(route)
+        # An earlier copy may have gone to a server through another host.
+        is_later_copy = packet.copy_number > 0 and reason == "cold_servers"
+        if flow.tried_servers or is_later_copy:
             # A server may have accepted an earlier copy, so a refusal could be untrue.
             self.journal.count("openings_dropped", "tried_before")
             return
-        self._refuse(packet, self.eligibility.missing_reason(route), now)
+        self._refuse(packet, reason, now)
 
     def _pick_service(
         self, route: Route, servers_by_service: dict[str, list[Server]]
@@ -246,8 +263,9 @@
         return self._random.choices(names, weights)[0]
 
     def _send_opening(self, packet: CallerPacket, server: Server, now: float) -> None:
-        self.eligibility.slow_start.record_opening(server, now)
         self._send(self.codec.write_handle(packet.data, server.handle), server, now)
+        departs_at = self.link_queue.departure(now)
+        self.eligibility.slow_start.record_opening(server, departs_at)
 
     def _send(self, data: bytes, server: Server, now: float) -> None:
         datagram = self.codec.encapsulate(data, server.number)
--- a/hornbeamdeal/dsr/_peer_sync.py
+++ b/hornbeamdeal/dsr/_peer_sync.py
@@ -106,6 +106,8 @@
             self._update_peers(now)
         elif any(isinstance(action, RebuildView) for action in actions):
             self._update_peers(now)
+        if self.slow_start is not None and not self.slow_start.has_view:
+            self._update_slow_start(now)
         if not self.catalog.is_complete and self._peers:
             # The store may be unavailable while this host starts.
             actions += self._request_catalog(
@@ -179,9 +181,7 @@
         self._receivers_by_group_count = self.relays.receivers(self._peers)
         staying = [host for host in members if host.state in READER_STATES]
         if self.slow_start is not None:
-            zone = self.membership.own.zone
-            zone_hosts = {host.host_id for host in staying if host.zone == zone}
-            self.slow_start.set_zone_hosts(zone_hosts | {own_id}, now)
+            self._update_slow_start(now)
         order, elected_count = reader_order(staying)
         if own_id in order:
             self.read_scheduler.position = order.index(own_id)
@@ -189,6 +189,22 @@
                 self.read_scheduler.position < elected_count
             )
 
+    def _update_slow_start(self, now: float) -> None:
+        """Tell slow start the zone's hosts, once this host has met a peer.
+
+        A host that starts while it is cut off can't tell whether it is the only one;
+        without seeds it is.
+        """
+        slow_start, membership = self.slow_start, self.membership
+        is_alone = not (self._peers or slow_start.has_view)
+        if is_alone and membership.seeds:
+            return
+        zone = membership.own.zone
+        hosts = [host for host in membership.members_.values() if host.zone == zone]
+        staying = {host.host_id for host in hosts if host.state in READER_STATES}
+        leaving = {h.host_id for h in hosts if h.state is HostState.LEAVING}
+        slow_start.set_zone_hosts(staying, now, leaving)
+
     def _apply_update(self, message: Any, sender: Endpoint, now: float) -> list[Any]:
         age = message.age_ms / 1000
         position = message.position if message.position >= 0 else len(self._peers)
--- a/hornbeamdeal/platform/_assembly.py
+++ b/hornbeamdeal/platform/_assembly.py
@@ -59,6 +59,7 @@
     )
     server_health = ServerHealth()
     slow_start = SlowStart(
+        arrivals=server_health.arrivals,
         catalog=catalog,
         host_id=settings.host_id,
         zone=settings.zone,
--- a/tests/fakes/dsr_host.py
+++ b/tests/fakes/dsr_host.py
@@ -117,6 +117,7 @@
         self.server_health = ServerHealth()
         self.outstanding = OutstandingRequests()
         self.slow_start = SlowStart(
+            arrivals=self.server_health.arrivals,
             catalog=self.catalog,
             host_id=host_id,
             zone=zone,
