Tell answer observers of requests that end without an answer

Cause: AnswerObserver.record_failure was never called, so a server that fails requests looked as good as one that answers them. Not counted: a flow without data (no request yet; openings are a matter of the server's health), and a wait that began before this host was last behind with its packets, since the answer may have come meanwhile. The same holds for answer times.

--- a/hornbeamdeal/dsr/_flow_table.py
+++ b/hornbeamdeal/dsr/_flow_table.py
@@ -1,7 +1,7 @@
 """Records of the flows whose packets recently passed this host."""
 
 from ._base import CallerPacket
-from ._records import Server
+from ._records import Route, Server
 
 SWEEP_INTERVAL_SECONDS = 1.0
 # Callers retransmit after 200 ms at the earliest; packets that are closer together
@@ -25,10 +25,10 @@
     `retransmissions` counts retransmissions of data since the server last showed
     that it received something. `sent_at` is when data or an opening packet was last
     forwarded. `awaited_server` is the server whose answer the flow is counted as
-    awaiting. `tried_servers` are those that got the opening packet.
-    `unacknowledged_sequence` is a position in the request that the server had not
-    acknowledged when a packet from there was last forwarded. Times are monotonic
-    seconds.
+    awaiting. `route` is None if the address had none at the flow's first packet.
+    `tried_servers` are those that got the opening packet. `unacknowledged_sequence` is a
+    position in the request that the server had not acknowledged when a packet from
+    there was last forwarded. Times are monotonic seconds.
     """
 
     __slots__ = (
@@ -40,6 +40,7 @@
         "last_packet_at",
         "next_sequence",
         "retransmissions",
+        "route",
         "sent_at",
         "tried_servers",
         "unacknowledged_sequence",
@@ -53,6 +54,7 @@
         self.next_sequence: int | None = None
         self.acknowledgement: int | None = None
         self.retransmissions = 0
+        self.route: Route | None = None
         self.sent_at = now
         self.unacknowledged_sequence: int | None = None
         self.awaited_server: Server | None = None
--- a/hornbeamdeal/dsr/_forwarder.py
+++ b/hornbeamdeal/dsr/_forwarder.py
@@ -114,7 +114,8 @@
         if self.catalog.routes is None or not self.flows.is_sweep_due(now):
             return
         for flow in self.flows.flows_by_key.values():
-            self.outstanding.expire(flow, now)
+            if self.outstanding.is_expired(flow, now):
+                self._finish_unanswered(flow, now)
         self.flows.sweep(self.catalog.routes.idle_timeout, now)
 
     def _reset_waiting_flows(self, now: float) -> None:
@@ -145,8 +146,9 @@
             return
         flow = self.flows.get(packet.flow_key)
         if flow is None or flow.is_established:
-            self._discard_flow(packet.flow_key)
+            self._discard_flow(packet.flow_key, now)
             flow = self.flows.open(packet.flow_key, now)
+            flow.route = route
         flow.last_packet_at = now
         is_duplicate = packet.copy_number <= flow.last_copy_number
         if flow.tried_servers and (
@@ -294,7 +296,7 @@
                 self._record_answer(caller_packet, flow, now)
                 self.outstanding.finish(flow)
         if caller_packet.is_ending:
-            self.outstanding.finish(flow)
+            self._finish_unanswered(flow, now)
         if not caller_packet.payload_bytes:
             return
         if is_new:
@@ -311,25 +313,44 @@
             self.server_health.record_unanswered(server.server_id, packet, now)
 
     def _record_answer(self, packet: CallerPacket, flow: Flow, now: float) -> None:
-        server = flow.awaited_server
-        route = self.catalog.find_route(packet.address_key)
         # With data, the packet may be the next request, which comes after a pause.
-        if server is None or route is None or packet.payload_bytes:
+        if packet.payload_bytes or not self._is_wait_known(flow):
             return
+        seconds = now - flow.awaited_since
         for observer in self.answer_observers:
-            observer.record_answer(route, server, now - flow.awaited_since, now)
+            observer.record_answer(flow.route, flow.awaited_server, seconds, now)
+
+    def _is_wait_known(self, flow: Flow) -> bool:
+        """Return whether the flow awaits an answer for as long as this host thinks.
+
+        While this host was behind with its packets, the answer may have come.
+        """
+        is_awaiting = flow.awaited_server is not None and flow.route is not None
+        return is_awaiting and flow.awaited_since >= self.arrivals.resumed_at
+
+    def _finish_unanswered(self, flow: Flow, now: float) -> None:
+        """Stop counting a flow; record a failure if it has sent a request."""
+        # A flow without data has no request yet, and an opening without an answer is
+        # a matter of the server's health.
+        has_request = flow.next_sequence is not None
+        if self.answer_observers and has_request and self._is_wait_known(flow):
+            self.journal.count("requests_unanswered")
+            for observer in self.answer_observers:
+                observer.record_failure(flow.route, flow.awaited_server, now)
+        self.outstanding.finish(flow)
 
     def _adopt_flow(self, packet: CallerPacket, now: float) -> Flow:
         """Create the record of a flow opened elsewhere or dropped here when idle."""
         flow = self.flows.open(packet.flow_key, now)
+        flow.route = self.catalog.find_route(packet.address_key)
         flow.is_established = True
         flow.acknowledgement = packet.acknowledgement
         return flow
 
-    def _discard_flow(self, flow_key: bytes) -> None:
+    def _discard_flow(self, flow_key: bytes, now: float) -> None:
         flow = self.flows.get(flow_key)
         if flow is not None:
-            self.outstanding.finish(flow)
+            self._finish_unanswered(flow, now)
             self.flows.discard(flow_key)
 
     def _refuse(self, packet: CallerPacket, reason: str, now: float) -> None:
@@ -362,7 +383,7 @@
         reason: str,
         now: float,
     ) -> None:
-        self._discard_flow(flow_key)
+        self._discard_flow(flow_key, now)
         self.journal.count("flows_reset", reason)
         self.journal.event(
             "flow_reset",
--- a/hornbeamdeal/dsr/_outstanding_requests.py
+++ b/hornbeamdeal/dsr/_outstanding_requests.py
@@ -47,10 +47,9 @@
         else:
             self._counts_by_id.pop(server_id, None)
 
-    def expire(self, flow: Flow, now: float) -> None:
-        """Stop counting a flow that has waited for too long."""
-        if (
+    def is_expired(self, flow: Flow, now: float) -> bool:
+        """Return whether a counted flow has waited for too long."""
+        return (
             flow.awaited_server is not None
             and now - flow.awaited_since > MAXIMUM_WAIT_SECONDS
-        ):
-            self.finish(flow)
+        )
