Place new flows by the expected wait at servers of differing speeds

A host sees about one flow in eighty, mostly has nothing outstanding at any server, and so treats them alike. Change: ServerSpeeds learns each server's slowness from answer times; placement expected_wait weighs load by it and chooses as least_outstanding while all candidates are in the dead band. The platform's hosts use it.

--- a/hornbeamdeal/dsr/__init__.py
+++ b/hornbeamdeal/dsr/__init__.py
@@ -10,7 +10,13 @@
     __name__,
     {
         "_arrival_bound": ["ArrivalBound"],
-        "_base": ["CallerPacket", "Journal", "PacketCodec", "Transmit"],
+        "_base": [
+            "AnswerObserver",
+            "CallerPacket",
+            "Journal",
+            "PacketCodec",
+            "Transmit",
+        ],
         "_catalog": ["Catalog"],
         "_catalog_reader": ["CatalogReader"],
         "_driver": ["Node"],
@@ -27,6 +33,7 @@
         "_peer_sync": ["PeerSync", "reader_order"],
         "_peering": ["Peering"],
         "_placement": [
+            "ExpectedWait",
             "FewestPlaced",
             "LeastOutstanding",
             "Placement",
@@ -45,6 +52,7 @@
         ],
         "_relays": ["UpdateRelays"],
         "_server_health": ["ServerHealth", "UnansweredPacket"],
+        "_server_speeds": ["ServerSpeeds"],
         "_slow_start": ["SlowStart"],
         "_source": ["Source", "SourceError"],
     },
--- a/hornbeamdeal/dsr/_placement.py
+++ b/hornbeamdeal/dsr/_placement.py
@@ -2,12 +2,12 @@
 
 They compare this host's own recent placements and outstanding requests, which
 needs neither messages nor probes. Hosts of a zone choose independently of each
-other.
+other. `expected_wait` also uses estimates of the servers' speeds.
 """
 
 import math
 import random
-from typing import Protocol
+from typing import Any, Protocol
 
 from hornbeamdeal.kernel import (
     Between,
@@ -18,6 +18,7 @@
 
 from ._outstanding_requests import OutstandingRequests
 from ._records import Server
+from ._server_speeds import ServerSpeeds
 
 # Half-life of a placement's weight, the duration of several requests.
 HALF_LIFE_SECONDS = 2.0
@@ -41,6 +42,9 @@
     def record_placement(self, server: Server, now: float) -> None:
         """Record a new flow placed on a server."""
 
+    def describe(self, server: Server, now: float) -> dict[str, Any]:
+        """Return for operators what the policy knows of a server."""
+
 
 class DecayingCounts:
     """Counts by server that decay exponentially and are dropped when negligible."""
@@ -119,6 +123,10 @@
         """Count a placement."""
         self.counts_.add(server.server_id, now)
 
+    def describe(self, server: Server, now: float) -> dict[str, Any]:
+        """Return nothing beyond what all policies have."""
+        return {}
+
     def _pick_least_loaded(self, servers: list[Server], now: float) -> Server:
         sample = self._random.sample(servers, min(2, len(servers)))
         return min(sample, key=lambda server: self._load(server, now))
@@ -168,6 +176,63 @@
         return (under_way + RECENT_PLACEMENT_WEIGHT * placed) / max(server.slots, 1)
 
 
+@register_plugin("placement", "expected_wait")
+class ExpectedWait(LeastOutstanding):
+    """Choose the server with the least expected wait.
+
+    The wait is (outstanding requests + 1 + weighted recent placements) x slowness /
+    slots. Where no candidate's slowness is outside the dead band, the choice is that of
+    `least_outstanding` with the same seed.
+
+    Within a zone, the 1 is replaced by a random number of mean 1 for each server. A host
+    mostly has no outstanding requests at any server, and all hosts would choose the
+    fastest one at once. With exponentially distributed numbers, a host without requests
+    chooses each server in proportion to its speed (the least of several exponential
+    variables).
+
+    Parameters
+    ----------
+    server_speeds : ServerSpeeds
+        Slowness of the servers.
+    """
+
+    __slots__ = ("server_speeds", "_slowness_by_id")
+
+    def __init__(self, *, server_speeds: ServerSpeeds, **parameters):
+        super().__init__(**parameters)
+        self.server_speeds = server_speeds
+        self._slowness_by_id: dict[str, float] = {}
+
+    def choose(self, candidates: list[Server], now: float) -> Server:
+        """Return one of the candidates."""
+        found = self.server_speeds.slowness_by_id(now)
+        is_uneven = found and any(s.server_id in found for s in candidates)
+        self._slowness_by_id = found if is_uneven else {}
+        return super().choose(candidates, now)
+
+    def describe(self, server: Server, now: float) -> dict[str, Any]:
+        """Return the server's slowness, its age and where it is from."""
+        return self.server_speeds.describe(server.server_id, now)
+
+    def _pick_least_loaded(self, servers: list[Server], now: float) -> Server:
+        if not self._slowness_by_id:
+            return super()._pick_least_loaded(servers, now)
+        draw = self._random.random
+        return min(servers, key=lambda s: self._wait(s, -math.log(1.0 - draw()), now))
+
+    def _load(self, server: Server, now: float) -> float:
+        if not self._slowness_by_id:
+            return super()._load(server, now)
+        return self._wait(server, 1.0, now)
+
+    def _wait(self, server: Server, own_service: float, now: float) -> float:
+        under_way = self.outstanding.count(server.server_id)
+        placed = self.counts_.value(server.server_id, now)
+        requests = under_way + own_service + RECENT_PLACEMENT_WEIGHT * placed
+        slowness = self._slowness_by_id.get(server.server_id, 1.0)
+        return requests * slowness / max(server.slots, 1)
+
+
 def make_placement(name: str, **parameters) -> Placement:
     """Return a new placement policy by its registered name."""
     return create_plugin("placement", name, **parameters)
--- a/hornbeamdeal/platform/_assembly.py
+++ b/hornbeamdeal/platform/_assembly.py
@@ -16,6 +16,7 @@
     PacketSender,
     ReadScheduler,
     ServerHealth,
+    ServerSpeeds,
     SlowStart,
     make_placement,
 )
@@ -29,7 +30,7 @@
 from ._settings import NodeSettings
 from ._store import StoreSource
 
-PLACEMENT = "least_outstanding"
+PLACEMENT = "expected_wait"
 # The platform provides no secret to its machines, so this key only distinguishes
 # messages between nodes from other datagrams.
 PEER_KEY_ID = 1
@@ -47,9 +48,11 @@
     """Build the packet forwarder, the first component that callers need."""
     random_state = random.getrandbits(32)
     outstanding = OutstandingRequests()
+    server_speeds = ServerSpeeds(journal=journal)
     placement = make_placement(
         PLACEMENT,
         outstanding=outstanding,
+        server_speeds=server_speeds,
         zone=settings.zone,
         random_state=random_state,
     )
@@ -78,6 +81,7 @@
         outstanding=outstanding,
         placement=placement,
         transmit=PacketSender(packet_socket, journal),
+        answer_observers=(server_speeds,),
         random_state=random_state,
     )
 
