--- a/hornbeamdeal/dsr/__init__.py
+++ b/hornbeamdeal/dsr/__init__.py
@@ -54,6 +54,7 @@
         "_server_health": ["ServerHealth", "UnansweredPacket"],
         "_server_speeds": ["ServerSpeeds"],
         "_slow_start": ["SlowStart"],
+        "_speed_exchange": ["SpeedExchange"],
         "_source": ["Source", "SourceError"],
     },
 )
--- a/hornbeamdeal/dsr/_catalog_reader.py
+++ b/hornbeamdeal/dsr/_catalog_reader.py
@@ -12,6 +12,7 @@
 from ._read_scheduler import ReadScheduler
 from ._records import RouteTable, Update
 from ._server_health import ServerHealth
+from ._server_speeds import ServerSpeeds
 from ._source import Source, SourceError
 
 # Upper bound between two checks whether a read is due.
@@ -46,6 +47,8 @@
         Receives log events and metrics.
     source : Source
         The store.
+    server_speeds : ServerSpeeds or None
+        Speeds of the servers; discarded when a server leaves or starts again.
 
     Attributes
     ----------
@@ -60,6 +63,7 @@
         "server_health",
         "journal",
         "peering",
+        "server_speeds",
         "source",
     )
 
@@ -72,6 +76,7 @@
         server_health: ServerHealth,
         journal: Journal,
         source: Source,
+        server_speeds: ServerSpeeds | None = None,
     ):
         self.clock = clock
         self.catalog = catalog
@@ -79,16 +84,19 @@
         self.server_health = server_health
         self.journal = journal
         self.source = source
+        self.server_speeds = server_speeds
         self.peering: Broadcaster | None = None
 
     def handle_server_changes(self, changes: list[tuple[str, Any]]) -> None:
-        """Log changes of servers and discard the health of removed ones.
+        """Log changes of servers and discard what was known of removed ones.
 
         A removed server that was found dead recently is marked as dead, so that
         its flows are reset without waiting for it to register again.
         """
         now = self.clock.monotonic()
         self._log_zones(now)
+        if self.server_speeds is not None:
+            self.server_speeds.handle_server_changes(changes)
         for change, server in changes:
             if change == "removed":
                 if self.server_health.died_recently(server.server_id, now):
--- a/hornbeamdeal/dsr/_explanation.py
+++ b/hornbeamdeal/dsr/_explanation.py
@@ -37,6 +37,7 @@
         "state": _state_of(forwarder, server, now),
         "under_way": forwarder.outstanding.count(server.server_id),
         "alive_ms": round(1000 * (now - progress_at)) if is_seen else -1,
+        **forwarder.placement.describe(server, now),
     }
 
 
--- a/hornbeamdeal/dsr/_peer_sync.py
+++ b/hornbeamdeal/dsr/_peer_sync.py
@@ -24,6 +24,7 @@
 from ._relays import NO_GROUPS, UpdateRelays
 from ._server_health import UNANSWERED_WINDOW_SECONDS, ServerHealth, UnansweredPacket
 from ._slow_start import SlowStart
+from ._speed_exchange import REPORT_PEERS, SpeedExchange
 
 # Minimum interval between requests for a missing part of the catalog; an answer
 # takes a few milliseconds.
@@ -59,6 +60,7 @@
         "queries_at_start",
         "relays",
         "slow_start",
+        "speed_exchange",
         "_is_query_due",
         "_receivers_by_group_count",
         "_peers",
@@ -78,6 +80,7 @@
         on_server_changes: Callable[[list[tuple[str, Any]]], None],
         relays: UpdateRelays | None = None,
         slow_start: SlowStart | None = None,
+        speed_exchange: SpeedExchange | None = None,
         queries_at_start: bool = True,
         random_state: int | None = None,
     ):
@@ -91,6 +94,7 @@
         self.queries_at_start = queries_at_start
         self.relays = relays or UpdateRelays()
         self.slow_start = slow_start
+        self.speed_exchange = speed_exchange
         self._peers: list[EntryHost] = []
         self._receivers_by_group_count: dict[int, list[EntryHost]] = {}
         self._is_query_due = queries_at_start
@@ -114,7 +118,7 @@
         elif self._is_query_due and self._peers:
             self._is_query_due = False
             actions += self._query_peers()
-        return actions + self._report_unanswered(now)
+        return actions + self._report_unanswered(now) + self._report_speeds(now)
 
     def handle(self, event: Any, now: float) -> list[Any]:
         """Handle a peer's message or a stop request."""
@@ -127,6 +131,10 @@
                 return self._send_full_catalog(event.endpoint, message, now)
             if isinstance(message, peer_types.ServerSigns):
                 return self._apply_reports(message, event.host_id, now)
+            if isinstance(message, peer_types.ServerSpeeds):
+                if self.speed_exchange is not None:
+                    self.speed_exchange.apply(message, now)
+                return []
         return self.membership.handle(event, now)
 
     def broadcast(
@@ -286,6 +294,18 @@
             return []
         return self._send_to_sample(peer_types.ServerSigns(reports))
 
+    def _report_speeds(self, now: float) -> list[Any]:
+        """Report answer times to a few hosts of the own zone, whose servers they are."""
+        if self.speed_exchange is None:
+            return []
+        message = self.speed_exchange.make_report(now)
+        if message is None:
+            return []
+        zone = self.membership.own.zone
+        peers = [host for host in self._peers if host.zone == zone]
+        receivers = self._random.sample(peers, min(len(peers), REPORT_PEERS))
+        return [SendPeerMessage(peer.endpoint, message) for peer in receivers]
+
     def _send_to_sample(self, message: Any) -> list[Any]:
         peers = self._peers
         if len(peers) > REPORT_FANOUT:
--- a/hornbeamdeal/dsr/_placement.py
+++ b/hornbeamdeal/dsr/_placement.py
@@ -45,6 +45,9 @@
     def describe(self, server: Server, now: float) -> dict[str, Any]:
         """Return for operators what the policy knows of a server."""
 
+    def gauges(self, now: float) -> dict[str, float]:
+        """Return the policy's gauges by name."""
+
 
 class DecayingCounts:
     """Counts by server that decay exponentially and are dropped when negligible."""
@@ -124,7 +127,11 @@
         self.counts_.add(server.server_id, now)
 
     def describe(self, server: Server, now: float) -> dict[str, Any]:
-        """Return nothing beyond what all policies have."""
+        """Return nothing, as this policy learns nothing of servers."""
+        return {}
+
+    def gauges(self, now: float) -> dict[str, float]:
+        """Return no gauges."""
         return {}
 
     def _pick_least_loaded(self, servers: list[Server], now: float) -> Server:
@@ -214,6 +221,11 @@
         """Return the server's slowness, its age and where it is from."""
         return self.server_speeds.describe(server.server_id, now)
 
+    def gauges(self, now: float) -> dict[str, float]:
+        """Return how many servers are slower and faster than the dead band."""
+        slow, fast = self.server_speeds.count_slow_and_fast(now)
+        return {"servers_slow": float(slow), "servers_fast": float(fast)}
+
     def _pick_least_loaded(self, servers: list[Server], now: float) -> Server:
         if not self._slowness_by_id:
             return super()._pick_least_loaded(servers, now)
--- a/hornbeamdeal/platform/_assembly.py
+++ b/hornbeamdeal/platform/_assembly.py
@@ -110,6 +110,7 @@
         server_health=forwarder.server_health,
         journal=journal,
         source=StoreSource(client=client, journal=journal),
+        server_speeds=forwarder.placement.server_speeds,
     )
     return Node(
         clock=clock,
@@ -122,7 +123,7 @@
 
 def make_peering(settings: NodeSettings, node: "Node") -> "Peering":
     """Build the peering between nodes and import the modules that only it needs."""
-    from hornbeamdeal.dsr import Peering, PeerSync
+    from hornbeamdeal.dsr import Peering, PeerSync, SpeedExchange
     from hornbeamdeal.kernel import EntryHost
     from hornbeamdeal.membership import Membership, generate_incarnation
     from hornbeamdeal.wire import PeerCodec
@@ -153,6 +154,11 @@
         make_membership=make_membership,
         on_server_changes=node.reader.handle_server_changes,
         slow_start=node.forwarder.eligibility.slow_start,
+        speed_exchange=SpeedExchange(
+            server_speeds=node.forwarder.placement.server_speeds,
+            catalog=node.catalog,
+            journal=node.journal,
+        ),
         queries_at_start=not settings.is_first_start,
     )
     codec = PeerCodec(
--- a/hornbeamdeal/platform/_pages.py
+++ b/hornbeamdeal/platform/_pages.py
@@ -95,6 +95,8 @@
         gauges = {name: float(status[name]) for name in names}
         for name in ("servers_out", "servers_cold", "zones_evacuated"):
             gauges[name] = float(len(status[name]))
+        placement, now = self.node.forwarder.placement, self.node.clock.monotonic()
+        gauges |= placement.gauges(now)
         gauges["reads_the_store"] = float(status["reads_the_store"])
         return gauges
 
