--- a/hornbeamdeal/dsr/_server_speeds.py
+++ b/hornbeamdeal/dsr/_server_speeds.py
@@ -14,10 +14,9 @@
 # answers; the lower bound limits the load that it attracts to twice its share.
 MINIMUM_SLOWNESS = 0.5
 MAXIMUM_SLOWNESS = 10.0
-# A server is judged by at least this many samples, after decay. One that is outside the
-# dead band stays judged down to the lower number: a slow server gets fewer requests, and a
-# host of a large zone seldom has 4 samples of a server.
-MINIMUM_SAMPLES = 4.0
+# A server is judged by at least 4 samples, which may have decayed a little. One that has
+# been judged stays so down to the lower number, since a slow server gets fewer requests.
+MINIMUM_SAMPLES = 3.5
 REMAINING_SAMPLES = 1.5
 # Samples of a server count for this many at most, which limits how long many old samples
 # outweigh the first new ones after its speed has changed.
