--- a/hornbeamdeal/dsr/_server_speeds.py
+++ b/hornbeamdeal/dsr/_server_speeds.py
@@ -20,8 +20,9 @@
 REMAINING_SAMPLES = 1.5
 # Samples of a server count for this many at most, which limits how long many old samples
 # outweigh the first new ones after its speed has changed.
-MAXIMUM_SAMPLES = 12.0
-HALF_LIFE_SECONDS = 5.0
+MAXIMUM_SAMPLES = 8.0
+# With 5 s, 24 hosts that see 0.35 answers of a server in a second judged few servers.
+HALF_LIFE_SECONDS = 10.0
 # A server without a sample for this long is forgotten and counts as 1. With the interval
 # between two estimates this is below the 10 s within which a server is to be tried again.
 RETENTION_SECONDS = 9.0
--- a/tests/dsr/server_speeds.feature
+++ b/tests/dsr/server_speeds.feature
@@ -75,6 +75,14 @@
       | 0       | 8         | the server     | malformed      |
       | 4       | 8         | another server | unknown_server |
 
+  Scenario: reports go to a few hosts of the own zone, once a second
+    Guards against traffic that grows with the square of the number of hosts.
+    Given 40 members in 2 zones
+    And a server that peers report as 4 times slower
+    When a host with own samples of the server runs for 5 s, its first second without samples
+    Then each of 4 reports goes to 8 hosts of its zone
+    And a host that receives one has a slower server
+
   Scenario: a report with a huge count and sum is limited
     Guards against a faulty peer that outweighs all others.
     Given a server that peers report as 1 times slower
--- a/tests/steps/dsr_server_speeds_steps.py
+++ b/tests/steps/dsr_server_speeds_steps.py
@@ -15,9 +15,17 @@
 )
 from fakes.dsr_speed_simulation import SimulatedHost, SpeedSimulation
 
-from hornbeamdeal.dsr import Flow, make_placement
+from hornbeamdeal.dsr import (
+    Flow,
+    PeerSync,
+    ReadScheduler,
+    ServerHealth,
+    make_placement,
+)
+from hornbeamdeal.kernel import PeerMessageReceived, RebuildView, SendPeerMessage
 from hornbeamdeal.wire import peer_types
 
+SPEEDS = peer_types.ServerSpeeds
 RATE = 250
 SETTLE_SECONDS = 20.0
 REPORTED_AT = 100.0
@@ -202,6 +210,56 @@
     when_malformed_report(context, samples, float(special), server)
 
 
+@when(
+    "a host with own samples of the server runs for {seconds:d} s, its first second without samples"
+)
+def when_reporting(context, seconds):
+    members_by_id = context.members_by_id
+    sender = next(iter(members_by_id.values()))
+    membership = Mock(own=sender, members_=members_by_id, superseded_=False)
+    membership.tick.return_value = [RebuildView()]
+    context.zone = {m.endpoint for m in members_by_id.values() if m.zone == sender.zone}
+    context.zone.discard(sender.endpoint)
+    context.peer_sync = PeerSync(
+        catalog=context.host.catalog,
+        read_scheduler=ReadScheduler(),
+        server_health=ServerHealth(),
+        journal=context.host.journal,
+        make_membership=lambda rejoins: membership,
+        on_server_changes=lambda changes: None,
+        speed_exchange=context.host.exchange,
+    )
+    [route] = make_routes().routes_by_key.values()
+    context.sent = []
+    for tick in range(10 * seconds):
+        now = context.now + tick / 10
+        for number in range(1, 5):
+            seconds_waited = 0.12 if number == 1 else 0.03
+            server = make_server(number)
+            context.host.speeds.record_answer(route, server, seconds_waited, now)
+        actions = context.peer_sync.tick(now)
+        context.sent += [a for a in actions if isinstance(a, SendPeerMessage)]
+    context.now = now
+
+
+@then("each of {count:d} reports goes to {peers:d} hosts of its zone")
+def then_reports(context, count, peers):
+    reports = [a for a in context.sent if isinstance(a.message, SPEEDS)]
+    receivers = Counter(id(action.message) for action in reports)
+    assert list(receivers.values()) == [peers] * count, receivers
+    assert {action.endpoint for action in reports} <= context.zone
+
+
+@then("a host that receives one has a slower server")
+def then_received(context):
+    receiver = SimulatedHost([context.server], "expected_wait", 2)
+    context.peer_sync.speed_exchange = receiver.exchange
+    message = next(a.message for a in context.sent if isinstance(a.message, SPEEDS))
+    event = PeerMessageReceived("h2", 1, None, message)
+    assert context.peer_sync.handle(event, context.now) == []
+    assert receiver.speeds.describe("i-0000000001", context.now)["slowness"] > 1.5
+
+
 @when("its entry is {change}")
 def when_entry_changes(context, change):
     server = copy.copy(context.server)
