Subtract the time on the way from answer times

Cause: a host measures the way to the server, to the caller and back as well, 7.5 ms with the 3 ms to callers of docs/design.md. Of servers with slowness 1.67, 1 and 0.63, the fast and half of the slow ones then are in the dead band. Change: Forwarder tells handshake observers the time of each handshake, which takes the same way; ServerSpeeds subtracts the route's mean from answer times. AnswerObserver is unchanged.

--- a/hornbeamdeal/dsr/_base.py
+++ b/hornbeamdeal/dsr/_base.py
@@ -97,6 +97,13 @@
         """Record a request whose flow ended without an answer."""
 
 
+class HandshakeObserver(Protocol):
+    """Learns how long packets are on their way."""
+
+    def record_handshake(self, route: Route, seconds: float, now: float) -> None:
+        """Record the seconds from an opening packet to the caller's next packet."""
+
+
 class Admission(Protocol):
     """Decides under load which new flows are served."""
 
--- a/hornbeamdeal/dsr/_forwarder.py
+++ b/hornbeamdeal/dsr/_forwarder.py
@@ -9,6 +9,7 @@
     Admission,
     AnswerObserver,
     CallerPacket,
+    HandshakeObserver,
     Journal,
     PacketCodec,
     Transmit,
@@ -46,6 +47,7 @@
         "eligibility",
         "server_health",
         "flows",
+        "handshake_observers",
         "journal",
         "link_queue",
         "outstanding",
@@ -70,10 +72,12 @@
         eligibility: Eligibility,
         admission: Admission | None = None,
         answer_observers: tuple[AnswerObserver, ...] = (),
+        handshake_observers: tuple[HandshakeObserver, ...] = (),
         random_state: int | None = None,
     ):
         self.admission = admission or AdmitAll()
         self.answer_observers = answer_observers
+        self.handshake_observers = handshake_observers
         self.eligibility = eligibility
         self.catalog = catalog
         self.codec = codec
@@ -286,7 +290,7 @@
     ) -> None:
         """Update the flow record and the server's health from a packet."""
         if not flow.is_established:
-            self.journal.observe("handshake_seconds", max(0.0, now - flow.sent_at))
+            self._record_handshake(flow, max(0.0, now - flow.sent_at), now)
         is_new = not flow.is_established
         if flow.record_packet(caller_packet, now):
             self.server_health.record_local_progress(server.server_id, now)
@@ -312,6 +316,13 @@
             )
             self.server_health.record_unanswered(server.server_id, packet, now)
 
+    def _record_handshake(self, flow: Flow, seconds: float, now: float) -> None:
+        self.journal.observe("handshake_seconds", seconds)
+        if flow.route is None or flow.sent_at < self.arrivals.resumed_at:
+            return
+        for observer in self.handshake_observers:
+            observer.record_handshake(flow.route, seconds, now)
+
     def _record_answer(self, packet: CallerPacket, flow: Flow, now: float) -> None:
         # With data, the packet may be the next request, which comes after a pause.
         if packet.payload_bytes or not self._is_wait_known(flow):
--- a/hornbeamdeal/dsr/_server_speeds.py
+++ b/hornbeamdeal/dsr/_server_speeds.py
@@ -39,6 +39,10 @@
 ROUTE_RETENTION_SECONDS = 60.0
 # A server whose own samples have decayed below this isn't compared with others.
 MINIMUM_COMPARED_SAMPLES = 1.0
+# The time on the way is subtracted from an answer time down to this share of it. Of 37 ms
+# that a host measures, 8 ms are on the way to the server, to the caller and back, which
+# would move a server of slowness 1.67 to 1.5, into the dead band.
+MINIMUM_SERVICE_SHARE = 0.25
 # Shortest time that counts; clocks may return the same time twice.
 MINIMUM_ANSWER_SECONDS = 1e-5
 
@@ -50,7 +54,10 @@
 
 
 class _RouteMean:
-    """Mean logarithm of a route's recent answer times at a server of slowness 1."""
+    """Mean logarithm of a route's recent times.
+
+    Answer times are those of a server of slowness 1.
+    """
 
     __slots__ = ("answers", "at", "log_mean")
 
@@ -59,8 +66,13 @@
         self.at = 0.0
         self.log_mean = log_seconds
 
+    @property
+    def seconds(self) -> float:
+        """Return the geometric mean."""
+        return math.exp(self.log_mean)
+
     def add(self, log_seconds: float, now: float) -> None:
-        """Add an answer time, a far one as if it were nearer."""
+        """Add a time, a far one as if it were nearer."""
         step = min(max(log_seconds - self.log_mean, -_LOG_STEP), _LOG_STEP)
         self.answers = min(self.answers + 1, ROUTE_MEAN_ANSWERS)
         self.at = now
@@ -146,11 +158,12 @@
 class ServerSpeeds:
     """Estimates the slowness of servers from answer times; an `AnswerObserver`.
 
-    A sample is the ratio of an answer time to the mean of its route. The slowness of a
-    server is the decayed geometric mean of its ratios, divided by that of the median
-    server of its service and zone: then a zone that is slow as a whole, and an overload
-    of all servers, make no server slower than the others. Route means are those of a
-    median server, so that they don't depend on which servers a route uses most.
+    A sample is the ratio of an answer time, less the mean time of the route's handshakes,
+    to the mean of its route. The slowness of a server is the decayed geometric mean of its
+    ratios, divided by that of the median server of its service and zone: then a zone that
+    is slow as a whole, and an overload of all servers, make no server slower than the
+    others. Route means are those of a median server, so that they don't depend on which
+    servers a route uses most.
 
     Parameters
     ----------
@@ -161,6 +174,7 @@
     __slots__ = (
         "journal",
         "_estimated_at",
+        "_handshakes_by_address",
         "_log_medians_by_group",
         "_means_by_address",
         "_records_by_id",
@@ -171,6 +185,7 @@
         self.journal = journal
         self._estimated_at = float("-inf")
         self._log_medians_by_group: dict[tuple[str, str], float] = {}
+        self._handshakes_by_address: dict[bytes, _RouteMean] = {}
         self._means_by_address: dict[bytes, _RouteMean] = {}
         self._records_by_id: dict[str, _Record] = {}
         self._slowness_by_id: dict[str, float] = {}
@@ -188,6 +203,10 @@
         self, route: Route, server: Server, seconds: float, now: float
     ) -> None:
         """Record an answer time."""
+        handshake = self._handshakes_by_address.get(route.address_key)
+        if handshake is not None:
+            service_seconds = seconds - handshake.seconds
+            seconds = max(service_seconds, MINIMUM_SERVICE_SHARE * seconds)
         log_seconds = math.log(max(seconds, MINIMUM_ANSWER_SECONDS))
         mean = self._means_by_address.get(route.address_key)
         if mean is None:
@@ -204,6 +223,15 @@
         step = min(max(log_ratio - server_mean, -_LOG_STEP), _LOG_STEP)
         self._add(record, server_mean + step, now)
 
+    def record_handshake(self, route: Route, seconds: float, now: float) -> None:
+        """Record the time on the way from a host to a server, the caller and back."""
+        log_seconds = math.log(max(seconds, MINIMUM_ANSWER_SECONDS))
+        handshake = self._handshakes_by_address.get(route.address_key)
+        if handshake is None:
+            handshake = _RouteMean(log_seconds)
+            self._handshakes_by_address[route.address_key] = handshake
+        handshake.add(log_seconds, now)
+
     def record_failure(self, route: Route, server: Server, now: float) -> None:
         """Count a failed request like an answer far slower than the server's mean.
 
@@ -305,9 +333,10 @@
         for server_id, record in list(self._records_by_id.items()):
             if now - record.sampled_at >= RETENTION_SECONDS:
                 del self._records_by_id[server_id]
-        for address_key, mean in list(self._means_by_address.items()):
-            if now - mean.at >= ROUTE_RETENTION_SECONDS:
-                del self._means_by_address[address_key]
+        for means in (self._means_by_address, self._handshakes_by_address):
+            for address_key, mean in list(means.items()):
+                if now - mean.at >= ROUTE_RETENTION_SECONDS:
+                    del means[address_key]
 
     def _find_medians(self, now: float) -> dict[tuple[str, str], float]:
         # Imported here, as loading it takes 3 ms of a core and would delay the start.
--- a/hornbeamdeal/platform/_assembly.py
+++ b/hornbeamdeal/platform/_assembly.py
@@ -82,6 +82,7 @@
         placement=placement,
         transmit=PacketSender(packet_socket, journal),
         answer_observers=(server_speeds,),
+        handshake_observers=(server_speeds,),
         random_state=random_state,
     )
 
--- a/tests/dsr/server_speeds.feature
+++ b/tests/dsr/server_speeds.feature
@@ -103,6 +103,15 @@
       | the caller closes the flow         |
       | the host resets the flow           |
 
+  Scenario: the time on the way is told from the time at the server
+    Guards against fast and slow servers that look alike to callers far away.
+    Given a dsr host that knows servers 1,2,3
+    And the answers that it sees are observed
+    When caller 100.64.0.1:1000 opens a flow
+    And 30 ms pass
+    And the flow's server answers the handshake
+    Then a handshake of 30 ms is recorded
+
   Scenario: a flow without a request is no failure
     Guards against callers that open flows early and count against their servers.
     Given a dsr host that knows servers 1,2,3
--- a/tests/fakes/dsr_speed_simulation.py
+++ b/tests/fakes/dsr_speed_simulation.py
@@ -20,7 +20,8 @@
 TICK_SECONDS = 0.1
 LONG_SHARE, LONG_FACTOR = 0.03, 7
 SERVICE_SECONDS = (0.019, 0.040)
-NETWORK_SECONDS = 0.004
+# From the host to the server, on to the caller and back to the host.
+NETWORK_SECONDS = 0.0075
 
 
 class SimulatedHost:
@@ -121,6 +122,7 @@
 
     def _answer(self, host, flow, server):
         seconds = self.now - flow.awaited_since
+        host.speeds.record_handshake(self.route, NETWORK_SECONDS, self.now)
         self.seconds.append(seconds)
         host.speeds.record_answer(self.route, server, seconds, self.now)
         host.outstanding.finish(flow)
--- a/tests/steps/dsr_server_speeds_steps.py
+++ b/tests/steps/dsr_server_speeds_steps.py
@@ -7,8 +7,10 @@
 
 from behave import given, then, when
 from fakes.dsr_host import (
+    FLAG_ACK,
     FLAG_FIN,
     SERVER_SEQUENCE,
+    handle_in,
     make_packet,
     make_routes,
     make_server,
@@ -307,6 +309,7 @@
 def given_observed(context):
     context.observer = Mock()
     context.host.forwarder.answer_observers = (context.observer,)
+    context.host.forwarder.handshake_observers = (context.observer,)
 
 
 @when("the caller closes the flow")
@@ -330,6 +333,20 @@
     context.host.forwarder.tick(now)
 
 
+@when("the flow's server answers the handshake")
+def when_handshake(context):
+    [(data, _)] = context.sent
+    fields = {"ack": SERVER_SEQUENCE, "echo": handle_in(data)}
+    context.host.receive(make_packet(context.caller, FLAG_ACK, **fields))
+
+
+@then("a handshake of {milliseconds:d} ms is recorded")
+def then_handshake(context, milliseconds):
+    [call] = context.observer.record_handshake.call_args_list
+    assert call.args[0].name == "r-443"
+    assert round(1000 * call.args[1]) == milliseconds
+
+
 @then("one failure is recorded")
 def then_one_failure(context):
     [call] = context.observer.record_failure.call_args_list
