Show a server's slowness in hornbeamdeal-ctl opening

Cause: operators read /explain through hornbeamdeal-ctl opening, which left the field out. Change: a server outside the dead band has its slowness, source and age in its line.

--- a/hornbeamdeal/ctl/_nodes.py
+++ b/hornbeamdeal/ctl/_nodes.py
@@ -100,6 +100,10 @@
     parts.append(f"{server['under_way']} requests under way here")
     alive = server["alive_ms"]
     parts.append(f"alive {alive} ms ago" if alive >= 0 else "not seen alive here")
+    # Absent from the answers of older nodes.
+    if server.get("slowness", 1.0) != 1.0:
+        source, age = server["slowness_source"], server["slowness_age_ms"]
+        parts.append(f"slowness {server['slowness']} ({source}, {age} ms ago)")
     return ", ".join(parts)
 
 
