--- a/benchmarks/server_speeds.py
+++ b/benchmarks/server_speeds.py
@@ -28,6 +28,7 @@
 HEADER_BYTES = 28
 SLOWNESS = (1.67, 1.0, 0.6)
 SECONDS = 30
+WAY_SECONDS = 0.0075
 ROUTE = Route(address_key=b"route", name="route", weights_by_service={"service": 1.0})
 CODEC = PeerCodec(
     host_id="aqp-cercado-0001",
@@ -115,7 +116,9 @@
             slowness = 1.0 if alike else SLOWNESS[number % len(SLOWNESS)]
             seconds = slowness * generator.uniform(0.019, 0.040)
             record = speeds.record_answer
-            watch.run("answers", record, ROUTE, server, seconds, now)
+            watch.run("answers", speeds.record_handshake, ROUTE, WAY_SECONDS, now)
+            answer_seconds = seconds + WAY_SECONDS
+            watch.run("answers", record, ROUTE, server, answer_seconds, now)
         watch.run("estimates", speeds.slowness_by_id, second + 1.0)
         watch.run("estimates", speeds.slowness_by_id, second + 1.5)
         message = watch.run("reports", exchange.make_report, second + 1.0)
