Notice a slower server from its second answer on

Cause: at 20 hosts and 250 requests/s, a server that had become 5 times slower still got 0.60 of an equal share from 4 to 6 s after the change, as each sample moved the estimate by a factor of 2.5 at most. Change: the limit is a factor of 2, and 8 if the sample before was as far off on the same side; two requests of 7 times the time in a row are rare. Failures are limited alike.

--- a/hornbeamdeal/dsr/_server_speeds.py
+++ b/hornbeamdeal/dsr/_server_speeds.py
@@ -28,9 +28,11 @@
 RETENTION_SECONDS = 9.0
 # Interval between two estimates, which each compare all servers with samples.
 ESTIMATE_INTERVAL_SECONDS = 0.5
-# A sample differs from its server's mean by at most this factor. A few requests take 7
-# times as long as others, which says nothing about their server.
-MAXIMUM_STEP = 2.5
+# A sample differs from its server's mean by at most this factor, or its cube if the one
+# before was as far off. A few requests take 7 times as long as others, which says nothing
+# about their server, but two in a row are rare.
+MAXIMUM_STEP = 2.0
+REPEATED_STEP_EXPONENT = 3
 # The mean of a route is that of about so many recent answers. Ratios to the mean count
 # once it has the minimum number of answers.
 ROUTE_MEAN_ANSWERS = 64
@@ -111,14 +113,24 @@
 
     `own` are this host's, `peers` those that peers sent, `unsent` this host's that peers
     have not received. Peers' ratios are relative to the median server, this host's are
-    not. `log_slowness` is the latest estimate.
+    not. `log_slowness` is the latest estimate. `last_far_step` is the difference of the
+    latest own sample from the mean if it was limited, else 0.
     """
 
-    __slots__ = ("decayed_at", "group", "log_slowness", "own", "peers", "unsent")
+    __slots__ = (
+        "decayed_at",
+        "group",
+        "last_far_step",
+        "log_slowness",
+        "own",
+        "peers",
+        "unsent",
+    )
 
     def __init__(self, server: Server, now: float):
         self.group = (server.service, server.zone)
         self.decayed_at = now
+        self.last_far_step = 0.0
         self.log_slowness = 0.0
         self.own = _Samples()
         self.peers = _Samples()
@@ -144,6 +156,19 @@
             self.own.scale(MAXIMUM_SAMPLES / total)
             self.peers.scale(MAXIMUM_SAMPLES / total)
 
+    def limit_step(self, log_ratio: float) -> float:
+        """Return an own sample's logarithm, brought nearer to the mean if it is far."""
+        mean = self.own.log_mean
+        step = log_ratio - mean
+        limit = _LOG_STEP
+        if abs(step) > limit:
+            is_repeated = self.last_far_step * step > 0
+            self.last_far_step = step
+            limit *= REPEATED_STEP_EXPONENT if is_repeated else 1
+        else:
+            self.last_far_step = 0.0
+        return mean + min(max(step, -limit), limit)
+
     def estimate(self, log_median: float) -> float:
         """Return the logarithm of the slowness relative to the median server."""
         total = self.own.count + self.peers.count
@@ -219,9 +244,7 @@
         if record is None:
             record = self._record_of(server, now)
         log_ratio = log_seconds - mean.log_mean
-        server_mean = record.own.log_mean
-        step = min(max(log_ratio - server_mean, -_LOG_STEP), _LOG_STEP)
-        self._add(record, server_mean + step, now)
+        self._add(record, record.limit_step(log_ratio), now)
 
     def record_handshake(self, route: Route, seconds: float, now: float) -> None:
         """Record the time on the way from a host to a server, the caller and back."""
@@ -233,13 +256,13 @@
         handshake.add(log_seconds, now)
 
     def record_failure(self, route: Route, server: Server, now: float) -> None:
-        """Count a failed request like an answer far slower than the server's mean.
+        """Count a failed request like an answer that took the longest time.
 
         So a server that fails some requests and answers others fast attracts no load.
         """
         record = self._record_of(server, now)
-        log_ratio = max(record.own.log_mean, 0.0) + _LOG_STEP
-        self._add(record, min(log_ratio, _LOG_MAXIMUM), now)
+        log_ratio = max(record.limit_step(_LOG_MAXIMUM), _LOG_STEP)
+        self._add(record, log_ratio, now)
 
     def record_peer_samples(
         self, server: Server, count: int, ratio: float, now: float
