--- a/hornbeamdeal/platform/_assembly.py
+++ b/hornbeamdeal/platform/_assembly.py
@@ -16,6 +16,7 @@
     PacketSender,
     ReadScheduler,
     ServerHealth,
+    ServerSpeeds,
     SlowStart,
     make_placement,
 )
@@ -29,7 +30,7 @@
 from ._settings import NodeSettings
 from ._store import StoreSource
 
-PLACEMENT = "least_outstanding"
+PLACEMENT = "expected_wait"
 # The platform provides no secret to its machines, so this key only distinguishes
 # messages between nodes from other datagrams.
 PEER_KEY_ID = 1
@@ -47,9 +48,11 @@
     """Build the packet forwarder, the first component that callers need."""
     random_state = random.getrandbits(32)
     outstanding = OutstandingRequests()
+    server_speeds = ServerSpeeds(journal=journal)
     placement = make_placement(
         PLACEMENT,
         outstanding=outstanding,
+        server_speeds=server_speeds,
         zone=settings.zone,
         random_state=random_state,
     )
@@ -79,6 +82,8 @@
         outstanding=outstanding,
         placement=placement,
         transmit=PacketSender(packet_socket, journal),
+        answer_observers=(server_speeds,),
+        handshake_observers=(server_speeds,),
         random_state=random_state,
     )
 
@@ -107,6 +112,7 @@
         server_health=forwarder.server_health,
         journal=journal,
         source=StoreSource(client=client, journal=journal),
+        server_speeds=forwarder.placement.server_speeds,
     )
     return Node(
         clock=clock,
@@ -119,7 +125,7 @@
 
 def make_peering(settings: NodeSettings, node: "Node") -> "Peering":
     """Build the peering between nodes and import the modules that only it needs."""
-    from hornbeamdeal.dsr import Peering, PeerSync
+    from hornbeamdeal.dsr import Peering, PeerSync, SpeedExchange
     from hornbeamdeal.kernel import EntryHost
     from hornbeamdeal.membership import Membership, generate_incarnation
     from hornbeamdeal.wire import PeerCodec
@@ -150,6 +156,11 @@
         make_membership=make_membership,
         on_server_changes=node.reader.handle_server_changes,
         slow_start=node.forwarder.eligibility.slow_start,
+        speed_exchange=SpeedExchange(
+            server_speeds=node.forwarder.placement.server_speeds,
+            catalog=node.catalog,
+            journal=node.journal,
+        ),
         queries_at_start=not settings.is_first_start,
     )
     codec = PeerCodec(
