Add admission under overload and its estimate of answer times

Change: AnswerTimes keeps a decayed histogram of answer times by service and zone; OverloadAdmission refuses by priority and caller from its 90th percentile.

Call record_answer and record_failure of both observers, in this order, where the answer or the failure is known; admits(route, caller, now) for the first copy of an opening packet; record_work(route, caller, now) for each answer, where the caller is known, so that long-lived flows count as work of their callers. Failures of a single server are not counted.

The level still oscillates: the larger step down is taken while the load persists. Not built into a host yet.

--- a/hornbeamdeal/dsr/__init__.py
+++ b/hornbeamdeal/dsr/__init__.py
@@ -9,6 +9,7 @@
 __getattr__, __dir__, __all__ = attach(
     __name__,
     {
+        "_answer_times": ["AnswerTimes"],
         "_arrival_bound": ["ArrivalBound"],
         "_base": ["CallerPacket", "Journal", "PacketCodec", "Transmit"],
         "_catalog": ["Catalog"],
@@ -22,6 +23,7 @@
         "_link_queue": ["LinkQueue"],
         "_news_codec": ["decode_news", "encode_news"],
         "_outstanding_requests": ["OutstandingRequests"],
+        "_overload": ["OverloadAdmission"],
         "_packet_io": ["PacketSender", "forward_pending"],
         "_packet_socket": ["open_packet_socket"],
         "_peer_sync": ["PeerSync", "reader_order"],
