Shed load in proportion to the demand; count requests without answers

Forwarder reports a request as failed 0.3 s after its objective (3 s without one) or when its flow is reset; a single slow answer never is the 90th percentile. Admission learns the work of callers through record_work. Both are built into hosts.

--- a/hornbeamdeal/dsr/_admission.py
+++ b/hornbeamdeal/dsr/_admission.py
@@ -11,3 +11,6 @@
     def admits(self, route: Route, caller: int, now: float) -> bool:
         """Return True."""
         return True
+
+    def record_work(self, route: Route, caller: int, now: float) -> None:
+        """Do nothing."""
--- a/hornbeamdeal/dsr/_answer_times.py
+++ b/hornbeamdeal/dsr/_answer_times.py
@@ -5,10 +5,14 @@
 from ._arrival_bound import ArrivalBound
 from ._records import Route, Server
 
-# A host sees about 10 answers a second, of which about 10 then count.
-HALF_LIFE_SECONDS = 0.7
-# With fewer samples a single slow answer would exceed the 90th percentile.
+# A host sees about 10 answers a second, so about 7 count. Longer half-lives keep the
+# shedding on for more than 5 s after the load has fallen.
+HALF_LIFE_SECONDS = 0.5
+# Decayed count of samples below which there is no estimate.
 MINIMUM_SAMPLES = 4.0
+# At least this many samples lie beyond the estimate, so that it never is that of a
+# single slow answer.
+MINIMUM_SAMPLES_BEYOND = 1.0
 # An estimate without a sample for this long is dropped, as after a pause of the host.
 MAXIMUM_AGE_SECONDS = 10.0
 QUANTILE = 0.9
@@ -118,7 +122,9 @@
         found = [w for z in zones if (w := histograms[z].weights(now)) is not None]
         if not found:
             return None
-        weights = found[0] if len(found) == 1 else [sum(w) for w in zip(*found)]
+        weights = (
+            found[0] if len(found) == 1 else [sum(w) for w in zip(*found, strict=True)]
+        )
         total = sum(weights)
         return _quantile(weights, total) if total >= MINIMUM_SAMPLES else None
 
@@ -153,8 +159,11 @@
 
 
 def _quantile(weights: list[float], total: float) -> float:
-    """Return the quantile, interpolated within its bucket."""
-    beyond = (1.0 - QUANTILE) * total
+    """Return the quantile, interpolated within its bucket.
+
+    It is a lower one if a tenth of the samples is less than one sample.
+    """
+    beyond = max((1.0 - QUANTILE) * total, MINIMUM_SAMPLES_BEYOND)
     for index in range(len(weights) - 1, -1, -1):
         if beyond < weights[index]:
             if index == len(BUCKET_BOUNDS):
--- a/hornbeamdeal/dsr/_base.py
+++ b/hornbeamdeal/dsr/_base.py
@@ -94,7 +94,10 @@
         """Record the seconds from a request's first packet to its answer."""
 
     def record_failure(self, route: Route, server: Server, now: float) -> None:
-        """Record a request whose flow ended without an answer."""
+        """Record a request whose flow was reset or whose answer is long overdue.
+
+        An overdue answer may still arrive and is then recorded as well.
+        """
 
 
 class Admission(Protocol):
@@ -107,6 +110,9 @@
         asked about again.
         """
 
+    def record_work(self, route: Route, caller: int, now: float) -> None:
+        """Record an answer to a caller, whose flow may bring many requests."""
+
 
 class Transmit(Protocol):
     """Sends a datagram without blocking."""
--- a/hornbeamdeal/dsr/_flow_table.py
+++ b/hornbeamdeal/dsr/_flow_table.py
@@ -27,14 +27,16 @@
     forwarded. `awaited_server` is the server whose answer the flow is counted as
     awaiting. `tried_servers` are those that got the opening packet.
     `unacknowledged_sequence` is a position in the request that the server had not
-    acknowledged when a packet from there was last forwarded. Times are monotonic
-    seconds.
+    acknowledged when a packet from there was last forwarded. `failed_since` is when the
+    last wait that was recorded as a failure began. Times are monotonic seconds.
     """
 
     __slots__ = (
         "acknowledgement",
+        "address_key",
         "awaited_server",
         "awaited_since",
+        "failed_since",
         "last_copy_number",
         "is_established",
         "last_packet_at",
@@ -45,7 +47,8 @@
         "unacknowledged_sequence",
     )
 
-    def __init__(self, now: float):
+    def __init__(self, now: float, address_key: bytes = b""):
+        self.address_key = address_key
         self.tried_servers: list[Server] = []
         self.last_copy_number = -1
         self.last_packet_at = now
@@ -57,6 +60,17 @@
         self.unacknowledged_sequence: int | None = None
         self.awaited_server: Server | None = None
         self.awaited_since = now
+        self.failed_since: float | None = None
+
+    @property
+    def awaits_request(self) -> bool:
+        """Return whether an opening or a request is unanswered.
+
+        A flow that is open may be idle at first.
+        """
+        return self.awaited_server is not None and (
+            not self.is_established or self.next_sequence is not None
+        )
 
     def record_packet(self, packet: CallerPacket, now: float) -> bool:
         """Record a packet of the open flow; return whether it shows the server alive.
@@ -130,9 +144,9 @@
         """Return the record of a flow, or None if there is none."""
         return self.flows_by_key.get(key)
 
-    def open(self, key: bytes, now: float) -> Flow:
-        """Create and return the record of a flow."""
-        flow = self.flows_by_key[key] = Flow(now)
+    def open(self, key: bytes, now: float, address_key: bytes = b"") -> Flow:
+        """Create and return the record of a flow to a service address."""
+        flow = self.flows_by_key[key] = Flow(now, address_key)
         return flow
 
     def discard(self, key: bytes) -> None:
--- a/hornbeamdeal/dsr/_forwarder.py
+++ b/hornbeamdeal/dsr/_forwarder.py
@@ -17,7 +17,7 @@
 from ._eligibility import Eligibility
 from ._flow_table import MINIMUM_RETRANSMISSION_SECONDS, Flow, FlowTable
 from ._link_queue import LinkQueue
-from ._outstanding_requests import OutstandingRequests
+from ._outstanding_requests import MAXIMUM_WAIT_SECONDS, OutstandingRequests
 from ._placement import Placement
 from ._records import NO_HANDLE, Route, Server
 from ._server_health import ServerHealth, UnansweredPacket
@@ -25,6 +25,8 @@
 # An opening packet is refused only if the catalog is newer than this. With an older
 # catalog, a route or server may have been added that this host has not seen yet.
 REFUSAL_MAXIMUM_CATALOG_AGE_SECONDS = 2.0
+# A request counts as failed if its answer is this much later than its objective.
+FAILURE_MARGIN_SECONDS = 0.3
 # Length of the caller's IPv4 address, with which a flow's key begins.
 CALLER_IP_BYTES = 4
 
@@ -111,6 +113,8 @@
     def tick(self, now: float) -> None:
         """Reset flows that await a dead or gone server's answer; drop idle records."""
         self._reset_waiting_flows(now)
+        if self.answer_observers:
+            self._record_failures(now)
         if self.catalog.routes is None or not self.flows.is_sweep_due(now):
             return
         for flow in self.flows.flows_by_key.values():
@@ -133,6 +137,29 @@
                 acknowledgement = flow.acknowledgement or 0
                 self._reset(flow_key, acknowledgement, server, "answer_awaited", now)
 
+    def _record_failures(self, now: float) -> None:
+        """Record the requests whose answers are overdue, each once.
+
+        Waits that began before this host was last behind may include its own pause.
+        """
+        for flow in self.outstanding.waiting_flows_:
+            seconds = now - flow.awaited_since
+            if (
+                seconds > FAILURE_MARGIN_SECONDS
+                and flow.awaits_request
+                and flow.awaited_since >= self.arrivals.resumed_at
+            ):
+                route = self.catalog.find_route(flow.address_key)
+                if route is not None and seconds > _failure_seconds(route):
+                    self._record_failure(flow, route, now)
+
+    def _record_failure(self, flow: Flow, route: Route, now: float) -> None:
+        if flow.failed_since == flow.awaited_since:
+            return
+        flow.failed_since = flow.awaited_since
+        for observer in self.answer_observers:
+            observer.record_failure(route, flow.awaited_server, now)
+
     def _handle_opening(
         self, packet: CallerPacket, now: float, arrived_at: float
     ) -> None:
@@ -146,7 +173,7 @@
         flow = self.flows.get(packet.flow_key)
         if flow is None or flow.is_established:
             self._discard_flow(packet.flow_key)
-            flow = self.flows.open(packet.flow_key, now)
+            flow = self.flows.open(packet.flow_key, now, packet.address_key)
         flow.last_packet_at = now
         is_duplicate = packet.copy_number <= flow.last_copy_number
         if flow.tried_servers and (
@@ -318,10 +345,11 @@
             return
         for observer in self.answer_observers:
             observer.record_answer(route, server, now - flow.awaited_since, now)
+        self.admission.record_work(route, hash_caller(packet), now)
 
     def _adopt_flow(self, packet: CallerPacket, now: float) -> Flow:
         """Create the record of a flow opened elsewhere or dropped here when idle."""
-        flow = self.flows.open(packet.flow_key, now)
+        flow = self.flows.open(packet.flow_key, now, packet.address_key)
         flow.is_established = True
         flow.acknowledgement = packet.acknowledgement
         return flow
@@ -362,6 +390,10 @@
         reason: str,
         now: float,
     ) -> None:
+        flow = self.flows.get(flow_key)
+        route = self.catalog.find_route(flow.address_key) if flow else None
+        if route is not None and flow.awaits_request:
+            self._record_failure(flow, route, now)
         self._discard_flow(flow_key)
         self.journal.count("flows_reset", reason)
         self.journal.event(
@@ -376,6 +408,13 @@
         self.transmit(*self.codec.make_reset(flow_key, acknowledgement))
 
 
+def _failure_seconds(route: Route) -> float:
+    """Return how long a request may wait before it counts as failed."""
+    if not route.aim_seconds:
+        return MAXIMUM_WAIT_SECONDS
+    return min(route.aim_seconds + FAILURE_MARGIN_SECONDS, MAXIMUM_WAIT_SECONDS)
+
+
 def hash_caller(packet: CallerPacket) -> int:
     """Return a 31-bit hash of the caller's IP address, without the port.
 
--- a/hornbeamdeal/dsr/_outstanding_requests.py
+++ b/hornbeamdeal/dsr/_outstanding_requests.py
@@ -17,9 +17,11 @@
     acknowledgements.
     """
 
-    __slots__ = ("_counts_by_id",)
+    __slots__ = ("waiting_flows_", "_counts_by_id")
 
     def __init__(self):
+        # A dictionary keeps the order in which the waits began, so that runs repeat.
+        self.waiting_flows_: dict[Flow, None] = {}
         self._counts_by_id: dict[str, int] = {}
 
     def count(self, server_id: str) -> int:
@@ -33,6 +35,7 @@
         self.finish(flow)
         flow.awaited_server = server
         flow.awaited_since = now
+        self.waiting_flows_[flow] = None
         self._counts_by_id[server.server_id] = self.count(server.server_id) + 1
 
     def finish(self, flow: Flow) -> None:
@@ -41,6 +44,7 @@
             return
         server_id = flow.awaited_server.server_id
         flow.awaited_server = None
+        del self.waiting_flows_[flow]
         remaining = self.count(server_id) - 1
         if remaining > 0:
             self._counts_by_id[server_id] = remaining
--- a/hornbeamdeal/platform/_assembly.py
+++ b/hornbeamdeal/platform/_assembly.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from hornbeamdeal.dsr import (
+    AnswerTimes,
     Catalog,
     Eligibility,
     FlowTable,
@@ -13,6 +14,7 @@
     Journal,
     LinkQueue,
     OutstandingRequests,
+    OverloadAdmission,
     PacketSender,
     ReadScheduler,
     ServerHealth,
@@ -65,7 +67,15 @@
         overage=settings.cold_overage,
         slack=settings.cold_slack or 0.0,
     )
+    answer_times = AnswerTimes(
+        arrivals=server_health.arrivals, is_out=server_health.is_out
+    )
+    admission = OverloadAdmission(
+        answer_times=answer_times, journal=journal, random_state=random_state
+    )
     return Forwarder(
+        admission=admission,
+        answer_observers=(answer_times, admission),
         catalog=catalog,
         eligibility=Eligibility(
             catalog=catalog, server_health=server_health, slow_start=slow_start
--- /dev/null
+++ b/tests/fakes/overloaded_servers.py
@@ -0,0 +1,233 @@
+"""A stepped model of servers, hosts and callers under load, without a network."""
+
+import heapq
+import random
+from collections import deque
+from itertools import count
+
+from fakes.dsr_host import RecordingJournal
+
+from hornbeamdeal.dsr import (
+    AnswerTimes,
+    OutstandingRequests,
+    OverloadAdmission,
+    Route,
+    Server,
+    make_placement,
+)
+from hornbeamdeal.dsr._flow_table import Flow
+
+SLOTS, QUEUE = 2, 8
+SERVICE_SECONDS = (0.019, 0.040)
+AIM_SECONDS = 0.4
+# A host records a failure this long after the request.
+FAILURE_SECONDS = AIM_SECONDS + 0.3
+MAXIMUM_ATTEMPTS = 3
+
+
+class ModelServer:
+    """A server with slots and a queue that sheds what doesn't fit."""
+
+    def __init__(self, record):
+        self.record = record
+        self.busy = 0
+        self.queue = deque()
+        self.is_up = True
+
+
+class ModelHost:
+    """The components of one host that decide about new flows."""
+
+    def __init__(self, zone, seed):
+        self.zone = zone
+        self.seed = seed
+        self.journal = RecordingJournal()
+        self.paused_until = 0.0
+        self.restart()
+
+    def restart(self):
+        """Start anew without any state."""
+        self.outstanding = OutstandingRequests()
+        self.answer_times = AnswerTimes()
+        self.admission = OverloadAdmission(
+            answer_times=self.answer_times, journal=self.journal, random_state=self.seed
+        )
+        self.placement = make_placement(
+            "least_outstanding",
+            outstanding=self.outstanding,
+            zone=self.zone,
+            random_state=self.seed,
+        )
+
+    @property
+    def level(self):
+        shedding = self.admission.shedding_by_service_.get("s")
+        return shedding.level if shedding else 0.0
+
+    def observe(self, name, *arguments):
+        for observer in (self.answer_times, self.admission):
+            getattr(observer, name)(*arguments)
+
+
+class Request:
+    """One request of a caller, with up to three attempts."""
+
+    def __init__(self, route, caller, zone, at):
+        self.route = route
+        self.caller = caller
+        self.zone = zone
+        self.at = at
+        self.attempts = 0
+        self.refusals = 0
+        self.sheds = 0
+        self.seconds = None
+        self.served_zone = None
+
+    @property
+    def is_answered_in_time(self):
+        return self.seconds is not None and self.seconds <= self.route.aim_seconds
+
+
+class OverloadedService:
+    """Runs requests through hosts and servers in order of time."""
+
+    def __init__(self, *, zones=("z1",), hosts=24, servers=6, seed=1):
+        self.random = random.Random(seed)
+        self.now = 0.0
+        self.requests = []
+        self.servers = [
+            ModelServer(
+                Server(
+                    server_id=f"{zone}-{index}",
+                    number=bytes(8),
+                    service="s",
+                    address=("10.1.0.1", index),
+                    zone=zone,
+                    slots=SLOTS,
+                    is_draining=False,
+                )
+            )
+            for zone in zones
+            for index in range(servers)
+        ]
+        self.servers_by_id = {s.record.server_id: s for s in self.servers}
+        self.hosts_by_zone = {
+            zone: [ModelHost(zone, seed * 1000 + i) for i in range(hosts)]
+            for zone in zones
+        }
+        self.reachable_zones = {zone: set(zones) for zone in zones}
+        self._events = []
+        self._order = count()
+
+    @property
+    def hosts(self):
+        return [host for hosts in self.hosts_by_zone.values() for host in hosts]
+
+    def at(self, at, call, *arguments):
+        """Call a function at a time."""
+        heapq.heappush(self._events, (at, next(self._order), call, arguments))
+
+    def add_load(self, route, per_second, start, end, *, zone="z1", callers=range(100)):
+        """Add requests at random times, each of a random caller."""
+        at = start
+        while (at := at + self.random.expovariate(per_second)) < end:
+            request = Request(route, self.random.choice(callers), zone, at)
+            self.requests.append(request)
+            self.at(at, self._open, request)
+
+    def run(self, until):
+        """Handle all events before a time."""
+        while self._events and self._events[0][0] < until:
+            self.now, _, call, arguments = heapq.heappop(self._events)
+            call(*arguments)
+        self.now = until
+
+    def select(self, start, end, route=None, callers=None):
+        """Return the requests of an interval."""
+        return [
+            r
+            for r in self.requests
+            if start <= r.at < end
+            and route in (None, r.route.name)
+            and (callers is None or r.caller in callers)
+        ]
+
+    def _open(self, request):
+        host = self.random.choice(self.hosts_by_zone[request.zone])
+        if self.now < host.paused_until:
+            self.at(host.paused_until, self._open, request)
+            return
+        request.attempts += 1
+        if not host.admission.admits(request.route, request.caller, self.now):
+            request.refusals += 1
+            self._retry(request)
+            return
+        candidates = [s.record for s in self.servers]
+        record = host.placement.choose(candidates, self.now)
+        host.placement.record_placement(record, self.now)
+        flow = Flow(self.now)
+        host.outstanding.start(flow, record, self.now)
+        server = self.servers_by_id[record.server_id]
+        work = (request, host, flow, self.now)
+        is_reached = record.zone in self.reachable_zones[request.zone]
+        if not (server.is_up and is_reached):
+            self.at(self.now + FAILURE_SECONDS, self._fail, record, work)
+        elif server.busy < SLOTS:
+            self._start(server, work)
+        elif len(server.queue) < QUEUE:
+            server.queue.append(work)
+        else:
+            request.sheds += 1
+            self.at(self.now + FAILURE_SECONDS, self._fail, record, work)
+            self._retry(request)
+
+    def _retry(self, request):
+        if request.attempts < MAXIMUM_ATTEMPTS:
+            delay = self.random.uniform(0.05, 0.2)
+            self.at(self.now + delay, self._open, request)
+
+    def _start(self, server, work):
+        server.busy += 1
+        seconds = self.random.uniform(*SERVICE_SECONDS)
+        self.at(self.now + seconds, self._finish, server, work)
+
+    def _finish(self, server, work):
+        request, host, flow, placed_at = work
+        server.busy -= 1
+        if server.queue:
+            self._start(server, server.queue.popleft())
+        request.seconds = self.now - request.at
+        request.served_zone = server.record.zone
+        if self.now < host.paused_until:
+            # The host handles the acknowledgement as soon as it goes on.
+            self.at(host.paused_until, self._acknowledge, server, work)
+        else:
+            self._acknowledge(server, work)
+
+    def _acknowledge(self, server, work):
+        request, host, flow, placed_at = work
+        host.outstanding.finish(flow)
+        seconds = self.now - placed_at
+        host.observe("record_answer", request.route, server.record, seconds, self.now)
+        host.admission.record_work(request.route, request.caller, self.now)
+
+    def _fail(self, record, work):
+        request, host, flow, _ = work
+        host.outstanding.finish(flow)
+        host.observe("record_failure", request.route, record, self.now)
+
+
+def make_route(name, priority):
+    """Return a route to the modeled service."""
+    return Route(
+        address_key=name.encode(),
+        name=name,
+        weights_by_service={"s": 1.0},
+        priority=priority,
+        aim_seconds=AIM_SECONDS,
+    )
+
+
+def answered_share(requests):
+    """Return the share of requests answered within the latency objective."""
+    return sum(r.is_answered_in_time for r in requests) / len(requests)
