Spill new flows to other zones before any is refused

Cause: a host sees too few flows for placement's lead of 2 to show that its zone is full, so servers shed while those of other zones are idle. Change: ZoneSpill filters the candidates between eligibility and placement. While the own zone's 90th percentile is above half of the objective, a share of the first copies goes to zones whose own answers are better, in steps whose times differ between hosts; a tenth probes zones without an estimate. Shedding does not rise while the spill does.

--- a/hornbeamdeal/dsr/__init__.py
+++ b/hornbeamdeal/dsr/__init__.py
@@ -49,5 +49,6 @@
         "_server_health": ["ServerHealth", "UnansweredPacket"],
         "_slow_start": ["SlowStart"],
         "_source": ["Source", "SourceError"],
+        "_zone_spill": ["ZoneSpill"],
     },
 )
--- a/hornbeamdeal/dsr/_answer_times.py
+++ b/hornbeamdeal/dsr/_answer_times.py
@@ -1,6 +1,7 @@
 """Recent answer times of services by zone, relative to the routes' objectives."""
 
 from bisect import bisect_left
+from collections.abc import Callable
 
 from ._arrival_bound import ArrivalBound
 from ._records import Route, Server
@@ -32,9 +33,10 @@
     (forward decay; Cormode, Shkapenyuk, Srivastava, Xu 2009).
     """
 
-    __slots__ = ("recorded_at", "_landmark", "_weights")
+    __slots__ = ("half_life", "recorded_at", "_landmark", "_weights")
 
-    def __init__(self, now: float):
+    def __init__(self, half_life: float, now: float):
+        self.half_life = half_life
         self.recorded_at = now
         self._landmark = now
         self._weights = [0.0] * (len(BUCKET_BOUNDS) + 1)
@@ -42,8 +44,8 @@
     def record(self, ratio: float, now: float) -> None:
         """Record one sample."""
         if now - self.recorded_at > MAXIMUM_AGE_SECONDS:
-            self.__init__(now)
-        half_lives = (now - self._landmark) / HALF_LIFE_SECONDS
+            self.__init__(self.half_life, now)
+        half_lives = (now - self._landmark) / self.half_life
         if half_lives > RESCALE_HALF_LIVES:
             scale = 2.0**-half_lives
             self._weights = [weight * scale for weight in self._weights]
@@ -55,7 +57,7 @@
         """Return the buckets' weights at a time, None if all samples are too old."""
         if now - self.recorded_at > MAXIMUM_AGE_SECONDS:
             return None
-        scale = 2.0 ** ((self._landmark - now) / HALF_LIFE_SECONDS)
+        scale = 2.0 ** ((self._landmark - now) / self.half_life)
         return [weight * scale for weight in self._weights]
 
 
@@ -74,11 +76,37 @@
         are not counted, since they include a pause of the host.
     is_out : callable or None
         Returns whether a server, given by its identifier, is out of rotation.
+    half_life : float
+        Seconds in which a sample loses half of its weight.
+    minimum_samples : float
+        Decayed count of samples below which there is no estimate.
+    minimum_beyond : float
+        Decayed count of samples that lie beyond an estimate at least. A count of 1 keeps
+        a single slow answer from being the estimate.
     """
 
-    __slots__ = ("arrivals", "is_out", "_histograms", "_last_failures")
-
-    def __init__(self, *, arrivals: ArrivalBound | None = None, is_out=None):
+    __slots__ = (
+        "arrivals",
+        "half_life",
+        "is_out",
+        "minimum_beyond",
+        "minimum_samples",
+        "_histograms",
+        "_last_failures",
+    )
+
+    def __init__(
+        self,
+        *,
+        arrivals: ArrivalBound | None = None,
+        is_out: Callable[[str], bool] | None = None,
+        half_life: float = HALF_LIFE_SECONDS,
+        minimum_samples: float = MINIMUM_SAMPLES,
+        minimum_beyond: float = MINIMUM_SAMPLES_BEYOND,
+    ):
+        self.half_life = half_life
+        self.minimum_samples = minimum_samples
+        self.minimum_beyond = minimum_beyond
         self.arrivals = arrivals
         self.is_out = is_out
         self._histograms: dict[str, dict[str, DecayingHistogram]] = {}
@@ -126,16 +154,10 @@
             found[0] if len(found) == 1 else [sum(w) for w in zip(*found, strict=True)]
         )
         total = sum(weights)
-        return _quantile(weights, total) if total >= MINIMUM_SAMPLES else None
-
-    def zones(self, service: str) -> list[str]:
-        """Return the zones whose servers of a service have answered."""
-        return list(self._histograms.get(service, ()))
-
-    def recorded_at(self, service: str, zone: str) -> float:
-        """Return when the latest sample of a zone was recorded."""
-        histogram = self._histograms.get(service, {}).get(zone)
-        return histogram.recorded_at if histogram else float("-inf")
+        if total < self.minimum_samples:
+            return None
+        beyond = max((1.0 - QUANTILE) * total, self.minimum_beyond)
+        return _value_below(weights, beyond)
 
     def discard_old(self, now: float) -> None:
         """Drop the estimates without recent samples, as of services that are gone."""
@@ -154,16 +176,15 @@
             histograms = self._histograms[server.service] = {}
         histogram = histograms.get(server.zone)
         if histogram is None:
-            histogram = histograms[server.zone] = DecayingHistogram(now)
+            histogram = histograms[server.zone] = DecayingHistogram(self.half_life, now)
         histogram.record(ratio, now)
 
 
-def _quantile(weights: list[float], total: float) -> float:
-    """Return the quantile, interpolated within its bucket.
+def _value_below(weights: list[float], beyond: float) -> float:
+    """Return the value with samples of a total weight beyond it.
 
-    It is a lower one if a tenth of the samples is less than one sample.
+    It is interpolated within its bucket.
     """
-    beyond = max((1.0 - QUANTILE) * total, MINIMUM_SAMPLES_BEYOND)
     for index in range(len(weights) - 1, -1, -1):
         if beyond < weights[index]:
             if index == len(BUCKET_BOUNDS):
--- a/hornbeamdeal/dsr/_forwarder.py
+++ b/hornbeamdeal/dsr/_forwarder.py
@@ -21,6 +21,7 @@
 from ._placement import Placement
 from ._records import NO_HANDLE, Route, Server
 from ._server_health import ServerHealth, UnansweredPacket
+from ._zone_spill import ZoneSpill
 
 # An opening packet is refused only if the catalog is newer than this. With an older
 # catalog, a route or server may have been added that this host has not seen yet.
@@ -54,6 +55,7 @@
         "placement",
         "random_state",
         "transmit",
+        "zone_spill",
         "_random",
     )
 
@@ -72,6 +74,7 @@
         eligibility: Eligibility,
         admission: Admission | None = None,
         answer_observers: tuple[AnswerObserver, ...] = (),
+        zone_spill: ZoneSpill | None = None,
         random_state: int | None = None,
     ):
         self.admission = admission or AdmitAll()
@@ -86,6 +89,7 @@
         self.outstanding = outstanding
         self.placement = placement
         self.transmit = transmit
+        self.zone_spill = zone_spill
         self.random_state = random_state
         self._random = random.Random(random_state)
 
@@ -200,6 +204,8 @@
                 return
             self._send_trial(packet, permitted, flow, now)
         candidates = self.eligibility.prefer(permitted, flow.tried_servers, now)
+        if self.zone_spill is not None and not flow.tried_servers:
+            candidates = self.zone_spill.filter(candidates, now)
         server = self.placement.choose(candidates, now)
         self.placement.record_placement(server, now)
         self.outstanding.start(flow, server, now)
--- a/hornbeamdeal/dsr/_overload.py
+++ b/hornbeamdeal/dsr/_overload.py
@@ -6,6 +6,7 @@
 from ._base import Journal
 from ._records import Route, Server
 from ._shedding import MAXIMUM_REFUSED_SHARE, ServiceShedding
+from ._zone_spill import ZoneSpill
 
 # A change of the level by less is not logged.
 LOGGED_LEVEL = 0.25
@@ -23,6 +24,8 @@
     ----------
     answer_times : AnswerTimes
         Estimates shared with the spill between zones.
+    zone_spill : ZoneSpill or None
+        Shedding does not rise while more flows will go to other zones.
     journal : Journal or None
         Receives events when shedding starts, changes and ends.
     random_state : int or None
@@ -34,6 +37,7 @@
         "journal",
         "random_state",
         "shedding_by_service_",
+        "zone_spill",
         "_active",
         "_logged_levels",
         "_random",
@@ -43,10 +47,12 @@
         self,
         *,
         answer_times: AnswerTimes,
+        zone_spill: ZoneSpill | None = None,
         journal: Journal | None = None,
         random_state: int | None = None,
     ):
         self.answer_times = answer_times
+        self.zone_spill = zone_spill
         self.journal = journal
         self.random_state = random_state
         self.shedding_by_service_: dict[str, ServiceShedding] = {}
@@ -144,7 +150,9 @@
 
     def _step(self, service: str, shedding: ServiceShedding, now: float) -> None:
         estimate = self.answer_times.estimate(service, now)
-        shedding.step(estimate, now)
+        spill = self.zone_spill
+        may_rise = spill is None or not spill.is_rising(service, now)
+        shedding.step(estimate, now, may_rise=may_rise)
         if shedding.level > 0.0:
             self._active[service] = shedding
         else:
--- a/hornbeamdeal/dsr/_shedding.py
+++ b/hornbeamdeal/dsr/_shedding.py
@@ -111,7 +111,7 @@
             load = self.loads_by_priority[priority] = PriorityLoad(now)
         return load
 
-    def step(self, estimate: float | None, now: float) -> None:
+    def step(self, estimate: float | None, now: float, may_rise: bool = True) -> None:
         """Adapt the level to the 90th percentile, None if it is not known."""
         paused_seconds = now - self.stepped_at
         factor = math.exp2(-paused_seconds / RATE_HALF_LIFE_SECONDS)
@@ -124,7 +124,7 @@
         if paused_seconds > MAXIMUM_AGE_SECONDS:
             self.level = self._capacity = 0.0
         was_shedding = self.level > 0.0
-        self.level = self._next_level(estimate)
+        self.level = self._next_level(estimate, may_rise)
         remaining = self.level
         for _, load in self._lowest_first():
             load.refused_share = min(remaining, MAXIMUM_REFUSED_SHARE)
@@ -141,7 +141,7 @@
     def _lowest_first(self) -> list[tuple[int, PriorityLoad]]:
         return sorted(self.loads_by_priority.items(), reverse=True)
 
-    def _next_level(self, estimate: float | None) -> float:
+    def _next_level(self, estimate: float | None, may_rise: bool) -> float:
         loads = self.loads_by_priority.values()
         if len(loads) < 2:
             return 0.0
@@ -150,6 +150,8 @@
         answered = sum(load.answered for load in loads)
         if estimate > RISE_ABOVE:
             self._learn_capacity(answered)
+            if not may_rise:
+                return self.level
             highest = self._target_level() + TARGET_MARGIN
             step = RISE_STEP if self.level < highest else PROBE_STEP
             return min(self.level + step, len(loads) * MAXIMUM_REFUSED_SHARE)
--- a/hornbeamdeal/platform/_assembly.py
+++ b/hornbeamdeal/platform/_assembly.py
@@ -19,6 +19,7 @@
     ReadScheduler,
     ServerHealth,
     SlowStart,
+    ZoneSpill,
     make_placement,
 )
 from hornbeamdeal.kernel import Clock, Endpoint
@@ -70,12 +71,21 @@
     answer_times = AnswerTimes(
         arrivals=server_health.arrivals, is_out=server_health.is_out
     )
+    zone_spill = ZoneSpill(
+        zone=settings.zone,
+        answer_times=answer_times,
+        journal=journal,
+        random_state=random_state,
+    )
     admission = OverloadAdmission(
-        answer_times=answer_times, journal=journal, random_state=random_state
+        answer_times=answer_times,
+        zone_spill=zone_spill,
+        journal=journal,
+        random_state=random_state,
     )
     return Forwarder(
         admission=admission,
-        answer_observers=(answer_times, admission),
+        answer_observers=(answer_times, zone_spill, admission),
         catalog=catalog,
         eligibility=Eligibility(
             catalog=catalog, server_health=server_health, slow_start=slow_start
@@ -89,6 +99,7 @@
         placement=placement,
         transmit=PacketSender(packet_socket, journal),
         random_state=random_state,
+        zone_spill=zone_spill,
     )
 
 
--- a/tests/fakes/overloaded_servers.py
+++ b/tests/fakes/overloaded_servers.py
@@ -13,6 +13,7 @@
     OverloadAdmission,
     Route,
     Server,
+    ZoneSpill,
     make_placement,
 )
 from hornbeamdeal.dsr._arrival_bound import ArrivalBound
@@ -24,6 +25,9 @@
 # A host records a failure this long after the request.
 FAILURE_SECONDS = AIM_SECONDS + 0.3
 MAXIMUM_ATTEMPTS = 3
+# Unanswered opening packets put a server out of rotation after this time.
+OUT_SECONDS = 0.6
+TRIAL_INTERVAL_SECONDS = 2.0
 
 
 class ModelServer:
@@ -44,15 +48,28 @@
         self.seed = seed
         self.journal = RecordingJournal()
         self.paused_until = 0.0
+        self.spills = self.admits = True
         self.arrivals = ArrivalBound()
         self.restart()
 
     def restart(self):
         """Start anew without any state."""
+        self.out_ids = set()
         self.outstanding = OutstandingRequests()
-        self.answer_times = AnswerTimes(arrivals=self.arrivals)
+        self.answer_times = AnswerTimes(
+            arrivals=self.arrivals, is_out=self.out_ids.__contains__
+        )
+        self.zone_spill = ZoneSpill(
+            zone=self.zone,
+            answer_times=self.answer_times,
+            journal=self.journal,
+            random_state=self.seed,
+        )
         self.admission = OverloadAdmission(
-            answer_times=self.answer_times, journal=self.journal, random_state=self.seed
+            answer_times=self.answer_times,
+            zone_spill=self.zone_spill,
+            journal=self.journal,
+            random_state=self.seed,
         )
         self.placement = make_placement(
             "least_outstanding",
@@ -68,13 +85,18 @@
     def events(self, name):
         return [fields for n, fields in self.journal.events if n == name]
 
+    @property
+    def spilled_share(self):
+        spill = self.zone_spill.spills_by_service_.get("s")
+        return spill.share if spill else 0.0
+
     @property
     def level(self):
         shedding = self.admission.shedding_by_service_.get("s")
         return shedding.level if shedding else 0.0
 
     def observe(self, name, *arguments):
-        for observer in (self.answer_times, self.admission):
+        for observer in (self.answer_times, self.zone_spill, self.admission):
             getattr(observer, name)(*arguments)
 
 
@@ -90,7 +112,7 @@
         self.refusals = 0
         self.sheds = 0
         self.seconds = None
-        self.served_zone = None
+        self.server_id = None
 
     @property
     def is_answered_in_time(self):
@@ -125,6 +147,7 @@
             for zone in zones
         }
         self.reachable_zones = {zone: set(zones) for zone in zones}
+        self.closed_zones = set()
         self._events = []
         self._order = count()
 
@@ -175,11 +198,20 @@
         if self.now < host.paused_until:
             self._retry(request)
             return
-        if not host.admission.admits(request.route, request.caller, self.now):
+        if host.admits and not host.admission.admits(
+            request.route, request.caller, self.now
+        ):
             request.refusals += 1
             self._retry(request)
             return
-        candidates = [s.record for s in self.servers]
+        candidates = [
+            s.record
+            for s in self.servers
+            if s.record.zone not in self.closed_zones
+            and s.record.server_id not in host.out_ids
+        ]
+        if host.spills:
+            candidates = host.zone_spill.filter(candidates, self.now)
         record = host.placement.choose(candidates, self.now)
         host.placement.record_placement(record, self.now)
         flow = Flow(self.now)
@@ -189,6 +221,7 @@
         is_reached = record.zone in self.reachable_zones[request.zone]
         if not (server.is_up and is_reached):
             self.at(self.now + FAILURE_SECONDS, self._fail, record, work)
+            self.at(self.now + OUT_SECONDS, self._set_out, host, record)
         elif server.busy < SLOTS:
             self._start(server, work)
         elif len(server.queue) < QUEUE:
@@ -214,7 +247,7 @@
         if server.queue:
             self._start(server, server.queue.popleft())
         request.seconds = self.now - request.at
-        request.served_zone = server.record.zone
+        request.server_id = server.record.server_id
         if self.now < host.paused_until:
             # The host handles the acknowledgement as soon as it goes on.
             self.at(host.paused_until, self._acknowledge, server, work)
@@ -231,6 +264,12 @@
         host.observe("record_answer", request.route, server.record, seconds, self.now)
         host.admission.record_work(request.route, request.caller, self.now)
 
+    def _set_out(self, host, record):
+        """Leave a server out that does not answer, until its next trial."""
+        host.out_ids.add(record.server_id)
+        retry_at = self.now + TRIAL_INTERVAL_SECONDS
+        self.at(retry_at, host.out_ids.discard, record.server_id)
+
     def _fail(self, record, work):
         request, host, outstanding, flow, placed_at = work
         if outstanding is not host.outstanding or placed_at < host.arrivals.resumed_at:
--- a/tests/steps/dsr_overload_steps.py
+++ b/tests/steps/dsr_overload_steps.py
@@ -6,7 +6,6 @@
 from fakes.dsr_host import Host, is_reset, make_routes, make_server
 from fakes.overloaded_servers import OverloadedService, answered_share, make_route
 
-from hornbeamdeal.dsr import AnswerTimes
 from hornbeamdeal.dsr._admission import AdmitAll
 from hornbeamdeal.dsr._caller_work import CallerWork
 
@@ -23,7 +22,7 @@
 @given("hosts that admit all")
 def given_admit_all(context):
     for host in context.service.hosts:
-        host.admission.answer_times = AnswerTimes()
+        host.admits = False
 
 
 @given("{rate:d} requests/s of priority {priority:d} from {start:g} s to {end:g} s")
