Show operators what is refused and where flows go

Cause: a refusal for overload named only its reason, and nothing told of the spill. Change: /status and /explain list each service's 90th percentile, refused percent by priority and spill; the verdict of /explain says why new flows are refused.

--- a/hornbeamdeal/ctl/_nodes.py
+++ b/hornbeamdeal/ctl/_nodes.py
@@ -90,6 +90,19 @@
         parts.append(f"reads the store (position {status['reader_position']})")
     if status["servers_out"]:
         parts.append("out: " + " ".join(status["servers_out"]))
+    for service in status.get("overload", ()):
+        refused = service["refused_percent_by_priority"].items()
+        shares = " ".join(
+            f"priority {p} {percent}%" for p, percent in refused if percent
+        )
+        if shares:
+            parts.append(f"refuses of {service['service']}: {shares}")
+    for spill in status.get("zone_spill", ()):
+        if spill["percent"]:
+            zones = " ".join(spill["zones"]) or "none"
+            parts.append(
+                f"sends {spill['percent']}% of {spill['service']} to zones: {zones}"
+            )
     if status["version"] != newest:
         parts.append(f"lags behind version {newest}")
     return ", ".join(parts)
--- a/hornbeamdeal/dsr/_admission.py
+++ b/hornbeamdeal/dsr/_admission.py
@@ -1,5 +1,7 @@
 """Admission of new flows."""
 
+from typing import Any
+
 from ._records import Route
 
 
@@ -14,3 +16,7 @@
 
     def record_work(self, route: Route, caller: int, now: float) -> None:
         """Do nothing."""
+
+    def describe(self, now: float) -> list[dict[str, Any]]:
+        """Return nothing, since nothing is refused."""
+        return []
--- a/hornbeamdeal/dsr/_base.py
+++ b/hornbeamdeal/dsr/_base.py
@@ -113,6 +113,9 @@
     def record_work(self, route: Route, caller: int, now: float) -> None:
         """Record an answer to a caller, whose flow may bring many requests."""
 
+    def describe(self, now: float) -> list[dict[str, Any]]:
+        """Return for operators what is refused of each service in use."""
+
 
 class Transmit(Protocol):
     """Sends a datagram without blocking."""
--- a/hornbeamdeal/dsr/_explanation.py
+++ b/hornbeamdeal/dsr/_explanation.py
@@ -25,7 +25,23 @@
         outcome = "refused" if is_fresh else "dropped, old view"
         reason = forwarder.eligibility.missing_reason(route)
         verdict = f"{outcome}: route {route.name} has no server for new flows: {reason}"
-    return {"verdict": verdict, "servers": described}
+    overload = [
+        s for s in forwarder.admission.describe(now) if s["service"] in services
+    ]
+    for service in overload:
+        percent = service["refused_percent_by_priority"].get(route.priority, 0)
+        if percent:
+            verdict += (
+                f"; {service['service']} is overloaded: {percent}% of new flows of "
+                f"priority {route.priority} are refused"
+            )
+    spills = forwarder.zone_spill.describe() if forwarder.zone_spill else []
+    return {
+        "verdict": verdict,
+        "servers": described,
+        "overload": overload,
+        "zone_spill": [s for s in spills if s["service"] in services],
+    }
 
 
 def _describe_server(forwarder: Forwarder, server: Server, now: float) -> dict:
--- a/hornbeamdeal/dsr/_overload.py
+++ b/hornbeamdeal/dsr/_overload.py
@@ -1,6 +1,7 @@
 """Admission of new flows to overloaded services, by priority and fair to callers."""
 
 import random
+from typing import Any
 
 from ._answer_times import AnswerTimes
 from ._base import Journal
@@ -94,6 +95,8 @@
             else:
                 load.refused += is_new
                 load.callers.add_refusal(caller)
+        if not is_admitted and self.journal is not None:
+            self.journal.count("overload_refused", f"priority_{route.priority}")
         return is_admitted
 
     def record_work(self, route: Route, caller: int, now: float) -> None:
@@ -125,13 +128,19 @@
         if now >= shedding.step_due:
             self._step(server.service, shedding, now)
 
-    def refused_shares(self, route: Route) -> dict[str, float]:
-        """Return the refused share of a route's openings by service that sheds load."""
-        return {
-            service: self._active[service].refused_shares().get(route.priority, 0.0)
-            for service in route.weights_by_service
-            if service in self._active
-        }
+    def describe(self, now: float) -> list[dict[str, Any]]:
+        """Return for operators what is refused of each service in use."""
+        return [
+            {
+                "service": service,
+                "p90_of_aim": _rounded(self.answer_times.estimate(service, now)),
+                "refused_percent_by_priority": {
+                    priority: round(100 * share)
+                    for priority, share in shedding.refused_shares().items()
+                },
+            }
+            for service, shedding in self.shedding_by_service_.items()
+        ]
 
     def _shedding_of(self, service: str, now: float) -> ServiceShedding:
         shedding = self.shedding_by_service_.get(service)
@@ -172,9 +181,13 @@
         self.journal.event(
             f"shedding_{change}",
             service=service,
-            p90_of_aim=-1 if estimate is None else round(estimate, 2),
+            p90_of_aim=_rounded(estimate),
             **{
                 f"priority_{p}_percent": round(100 * share)
                 for p, share in shedding.refused_shares().items()
             },
         )
+
+
+def _rounded(estimate: float | None) -> float | None:
+    return None if estimate is None else round(estimate, 2)
--- a/hornbeamdeal/dsr/_zone_spill.py
+++ b/hornbeamdeal/dsr/_zone_spill.py
@@ -248,7 +248,7 @@
             service=service,
             percent=round(100 * spill.share),
             zones=",".join(sorted(spill.zones)),
-            p90_of_aim=-1 if own is None else round(own, 2),
+            p90_of_aim=None if own is None else round(own, 2),
         )
 
 
--- a/hornbeamdeal/platform/_pages.py
+++ b/hornbeamdeal/platform/_pages.py
@@ -68,9 +68,15 @@
             "servers_out": out,
             "servers_cold": self._cold_servers(now),
             "zones_evacuated": self._evacuated_zones(now),
+            "overload": node.forwarder.admission.describe(now),
+            "zone_spill": self._zone_spill(),
             "flows": len(node.forwarder.flows.flows_by_key),
         }
 
+    def _zone_spill(self) -> list[dict[str, Any]]:
+        zone_spill = self.node.forwarder.zone_spill
+        return zone_spill.describe() if zone_spill is not None else []
+
     def _cold_servers(self, now: float) -> list[str]:
         slow_start = self.node.forwarder.eligibility.slow_start
         servers = self.node.catalog.servers_by_id.values()
@@ -95,6 +101,15 @@
         gauges = {name: float(status[name]) for name in names}
         for name in ("servers_out", "servers_cold", "zones_evacuated"):
             gauges[name] = float(len(status[name]))
+        gauges["services_shedding"] = float(
+            sum(
+                any(service["refused_percent_by_priority"].values())
+                for service in status["overload"]
+            )
+        )
+        gauges["services_spilling"] = float(
+            sum(spill["percent"] > 0 for spill in status["zone_spill"])
+        )
         gauges["reads_the_store"] = float(status["reads_the_store"])
         return gauges
 
--- a/tests/dsr/overload.feature
+++ b/tests/dsr/overload.feature
@@ -126,6 +126,12 @@
     And 3600 ms pass with ticks
     Then 0 failures are recorded
 
+  Scenario: operators see why callers are refused
+    Guards against refusals without a stated reason.
+    Given a dsr host with observed answers and an objective of 400 ms
+    When the host sheds 60% of priority 0
+    Then explain tells that 60% of priority 0 are refused
+
   Scenario: only the first copy of an opening packet is refused
     Guards against a refusal while a server holds the flow.
     Given a dsr host with observed answers and an objective of 400 ms
--- a/tests/steps/dsr_overload_steps.py
+++ b/tests/steps/dsr_overload_steps.py
@@ -3,11 +3,21 @@
 from unittest.mock import Mock
 
 from behave import given, then, when
-from fakes.dsr_host import Host, is_reset, make_routes, make_server
+from fakes.dsr_host import (
+    SERVICE,
+    SERVICE_IP,
+    SERVICE_PORT,
+    Host,
+    is_reset,
+    make_routes,
+    make_server,
+)
 from fakes.overloaded_servers import OverloadedService, answered_share, make_route
 
+from hornbeamdeal.dsr import AnswerTimes, OverloadAdmission, explain_opening
 from hornbeamdeal.dsr._admission import AdmitAll
 from hornbeamdeal.dsr._caller_work import CallerWork
+from hornbeamdeal.platform._packets import encode_address
 
 HEAVY_CALLER = -1
 
@@ -205,3 +215,25 @@
     data, _ = context.sent[-1]
     assert is_reset(data)
     assert context.host.journal.counts["openings_refused", "overload"] == 1
+
+
+@when("the host sheds {percent:d}% of priority {priority:d}")
+def when_sheds(context, percent, priority):
+    now = context.host.clock.monotonic()
+    admission = OverloadAdmission(answer_times=AnswerTimes())
+    [route] = context.host.catalog.routes.routes_by_key.values()
+    admission.record_failure(route, context.servers[0], now)
+    load = admission.shedding_by_service_[SERVICE].load_of(priority, now)
+    load.refused_share = percent / 100
+    context.host.forwarder.admission = admission
+
+
+@then("explain tells that {percent:d}% of priority {priority:d} are refused")
+def then_explained_refusal(context, percent, priority):
+    address_key = encode_address(SERVICE_IP, SERVICE_PORT)
+    now = context.host.clock.monotonic()
+    explanation = explain_opening(context.host.forwarder, address_key, now)
+    expected = f"{percent}% of new flows of priority {priority} are refused"
+    assert expected in explanation["verdict"], explanation
+    [service] = explanation["overload"]
+    assert service["refused_percent_by_priority"] == {priority: percent}
