Merge admission under overload and spill between zones

Cause: admission and server speeds each recorded requests without an answer, so that one request would have counted twice; a later copy of an opening packet could be refused for overload although another host had sent the first one to a server. Change: RequestWaits measures waits and failures for all observers, each failure once, and takes this out of the forwarder; only the first copy is refused for overload.

--- a/hornbeamdeal/ctl/_nodes.py
+++ b/hornbeamdeal/ctl/_nodes.py
@@ -94,6 +94,19 @@
     parts += [_evacuation_text(zone) for zone in status.get("zones_evacuated", ())]
     if status.get("servers_cold"):
         parts.append("cold: " + " ".join(status["servers_cold"]))
+    for service in status.get("overload", ()):
+        refused = service["refused_percent_by_priority"].items()
+        shares = " ".join(
+            f"priority {p} {percent}%" for p, percent in refused if percent
+        )
+        if shares:
+            parts.append(f"refuses of {service['service']}: {shares}")
+    for spill in status.get("zone_spill", ()):
+        if spill["percent"]:
+            zones = " ".join(spill["zones"]) or "none"
+            parts.append(
+                f"sends {spill['percent']}% of {spill['service']} to zones: {zones}"
+            )
     if status["version"] != newest:
         parts.append(f"lags behind version {newest}")
     return ", ".join(parts)
--- a/hornbeamdeal/dsr/__init__.py
+++ b/hornbeamdeal/dsr/__init__.py
@@ -9,6 +9,7 @@
 __getattr__, __dir__, __all__ = attach(
     __name__,
     {
+        "_answer_times": ["AnswerTimes"],
         "_arrival_bound": ["ArrivalBound"],
         "_base": [
             "AnswerObserver",
@@ -28,6 +29,7 @@
         "_link_queue": ["LinkQueue"],
         "_news_codec": ["decode_news", "encode_news"],
         "_outstanding_requests": ["OutstandingRequests"],
+        "_overload": ["OverloadAdmission"],
         "_packet_io": ["PacketSender", "forward_pending"],
         "_packet_socket": ["open_packet_socket"],
         "_peer_sync": ["PeerSync", "reader_order"],
@@ -56,5 +58,6 @@
         "_slow_start": ["SlowStart"],
         "_speed_exchange": ["SpeedExchange"],
         "_source": ["Source", "SourceError"],
+        "_zone_spill": ["ZoneSpill"],
     },
 )
--- a/hornbeamdeal/dsr/_admission.py
+++ b/hornbeamdeal/dsr/_admission.py
@@ -1,5 +1,7 @@
 """Admission of new flows."""
 
+from typing import Any
+
 from ._records import Route
 
 
@@ -11,3 +13,10 @@
     def admits(self, route: Route, caller: int, now: float) -> bool:
         """Return True."""
         return True
+
+    def record_work(self, route: Route, caller: int, now: float) -> None:
+        """Do nothing."""
+
+    def describe(self, now: float) -> list[dict[str, Any]]:
+        """Return nothing, since nothing is refused."""
+        return []
--- a/hornbeamdeal/dsr/_base.py
+++ b/hornbeamdeal/dsr/_base.py
@@ -1,9 +1,13 @@
 """Interfaces of the direct server return data path."""
 
+import zlib
 from typing import Any, Protocol
 
 from ._records import Route, Server
 
+# Length of the caller's IPv4 address, with which a flow's key begins.
+CALLER_IP_BYTES = 4
+
 
 class CallerPacket:
     """Header fields of a caller's packet.
@@ -50,6 +54,14 @@
         self.data = data
 
 
+def hash_caller(packet: CallerPacket) -> int:
+    """Return a 31-bit hash of the caller's IP address, without the port.
+
+    A hash of 31 bits fits the signed 32-bit integer of a peer message.
+    """
+    return zlib.crc32(packet.flow_key[:CALLER_IP_BYTES]) >> 1
+
+
 class PacketCodec(Protocol):
     """Parses and encapsulates callers' packets without changing their payload."""
 
@@ -94,7 +106,10 @@
         """Record the seconds from a request's first packet to its answer."""
 
     def record_failure(self, route: Route, server: Server, now: float) -> None:
-        """Record a request whose flow ended without an answer."""
+        """Record a request whose flow was reset or whose answer is long overdue.
+
+        An overdue answer may still arrive and is then recorded as well.
+        """
 
 
 class HandshakeObserver(Protocol):
@@ -114,6 +129,12 @@
         asked about again.
         """
 
+    def record_work(self, route: Route, caller: int, now: float) -> None:
+        """Record an answer to a caller, whose flow may bring many requests."""
+
+    def describe(self, now: float) -> list[dict[str, Any]]:
+        """Return for operators what is refused of each service in use."""
+
 
 class Transmit(Protocol):
     """Sends a datagram without blocking."""
--- a/hornbeamdeal/dsr/_flow_table.py
+++ b/hornbeamdeal/dsr/_flow_table.py
@@ -28,13 +28,15 @@
     awaiting. `route` is None if the address had none at the flow's first packet.
     `tried_servers` are those that got the opening packet. `unacknowledged_sequence` is a
     position in the request that the server had not acknowledged when a packet from
-    there was last forwarded. Times are monotonic seconds.
+    there was last forwarded. `failed_since` is when the last wait that was recorded as a
+    failure began. Times are monotonic seconds.
     """
 
     __slots__ = (
         "acknowledgement",
         "awaited_server",
         "awaited_since",
+        "failed_since",
         "last_copy_number",
         "is_established",
         "last_packet_at",
@@ -59,6 +61,17 @@
         self.unacknowledged_sequence: int | None = None
         self.awaited_server: Server | None = None
         self.awaited_since = now
+        self.failed_since: float | None = None
+
+    @property
+    def awaits_request(self) -> bool:
+        """Return whether an opening or a request is unanswered.
+
+        A flow that is open may be idle at first.
+        """
+        return self.awaited_server is not None and (
+            not self.is_established or self.next_sequence is not None
+        )
 
     def record_packet(self, packet: CallerPacket, now: float) -> bool:
         """Record a packet of the open flow; return whether it shows the server alive.
--- a/hornbeamdeal/dsr/_forwarder.py
+++ b/hornbeamdeal/dsr/_forwarder.py
@@ -1,7 +1,6 @@
 """Forwards each packet of a caller to a server, answers with a reset or drops it."""
 
 import random
-import zlib
 
 from ._admission import AdmitAll
 from ._arrival_bound import ArrivalBound
@@ -13,6 +12,7 @@
     Journal,
     PacketCodec,
     Transmit,
+    hash_caller,
 )
 from ._catalog import Catalog
 from ._eligibility import NO_SERVER, Eligibility
@@ -21,13 +21,13 @@
 from ._outstanding_requests import OutstandingRequests
 from ._placement import Placement
 from ._records import NO_HANDLE, Route, Server
+from ._request_waits import RequestWaits
 from ._server_health import ServerHealth, UnansweredPacket
+from ._zone_spill import ZoneSpill
 
 # An opening packet is refused only if the catalog is newer than this. With an older
 # catalog, a route or server may have been added that this host has not seen yet.
 REFUSAL_MAXIMUM_CATALOG_AGE_SECONDS = 2.0
-# Length of the caller's IPv4 address, with which a flow's key begins.
-CALLER_IP_BYTES = 4
 
 
 class Forwarder:
@@ -41,19 +41,19 @@
 
     __slots__ = (
         "admission",
-        "answer_observers",
         "catalog",
         "codec",
         "eligibility",
         "server_health",
         "flows",
-        "handshake_observers",
         "journal",
         "link_queue",
         "outstanding",
         "placement",
         "random_state",
         "transmit",
+        "waits",
+        "zone_spill",
         "_random",
     )
 
@@ -73,11 +73,18 @@
         admission: Admission | None = None,
         answer_observers: tuple[AnswerObserver, ...] = (),
         handshake_observers: tuple[HandshakeObserver, ...] = (),
+        zone_spill: ZoneSpill | None = None,
         random_state: int | None = None,
     ):
         self.admission = admission or AdmitAll()
-        self.answer_observers = answer_observers
-        self.handshake_observers = handshake_observers
+        self.waits = RequestWaits(
+            outstanding=outstanding,
+            arrivals=server_health.arrivals,
+            journal=journal,
+            admission=admission,
+            answer_observers=answer_observers,
+            handshake_observers=handshake_observers,
+        )
         self.eligibility = eligibility
         self.catalog = catalog
         self.codec = codec
@@ -88,6 +95,7 @@
         self.outstanding = outstanding
         self.placement = placement
         self.transmit = transmit
+        self.zone_spill = zone_spill
         self.random_state = random_state
         self._random = random.Random(random_state)
 
@@ -115,11 +123,12 @@
     def tick(self, now: float) -> None:
         """Reset flows that await a dead or gone server's answer; drop idle records."""
         self._reset_waiting_flows(now)
+        self.waits.record_overdue(now)
         if self.catalog.routes is None or not self.flows.is_sweep_due(now):
             return
         for flow in self.flows.flows_by_key.values():
             if self.outstanding.is_expired(flow, now):
-                self._finish_unanswered(flow, now)
+                self.waits.finish_unanswered(flow, now)
         self.flows.sweep(self.catalog.routes.idle_timeout, now)
 
     def _reset_waiting_flows(self, now: float) -> None:
@@ -182,8 +191,9 @@
         permitted = servers_by_service[self._pick_service(route, servers_by_service)]
         trial_server = None
         if not flow.tried_servers:
-            if not self.admission.admits(route, hash_caller(packet), now):
-                self._refuse(packet, "overload", now)
+            # A later copy may have been sent to a server by another host.
+            is_first_copy = packet.copy_number == 0
+            if is_first_copy and not self._admits(packet, route, now):
                 return
             trial_server = self._send_trial(packet, permitted, now)
         # The trial counts, so that a cold server may have no room for another copy.
@@ -191,6 +201,8 @@
         candidates = self.eligibility.prefer(
             others or permitted, flow.tried_servers, now
         )
+        if self.zone_spill is not None and not flow.tried_servers:
+            candidates = self.zone_spill.filter(candidates, now)
         server = self.placement.choose(candidates, now)
         self.placement.record_placement(server, now)
         self.outstanding.start(flow, server, now)
@@ -214,6 +226,13 @@
             age_ms=round(1000 * self.catalog.age(now)),
         )
 
+    def _admits(self, packet: CallerPacket, route: Route, now: float) -> bool:
+        """Return whether the flow is served; refuse it otherwise."""
+        is_admitted = self.admission.admits(route, hash_caller(packet), now)
+        if not is_admitted:
+            self._refuse(packet, "overload", now)
+        return is_admitted
+
     def _record_unanswered_opening(
         self, flow: Flow, packet: CallerPacket, now: float
     ) -> None:
@@ -308,17 +327,16 @@
     ) -> None:
         """Update the flow record and the server's health from a packet."""
         if not flow.is_established:
-            self._record_handshake(flow, max(0.0, now - flow.sent_at), now)
+            self.waits.record_handshake(flow, now)
         is_new = not flow.is_established
         if flow.record_packet(caller_packet, now):
             self.server_health.record_local_progress(server.server_id, now)
             # The first packet only shows that the server accepted the flow; the
             # request follows the handshake.
             if not is_new:
-                self._record_answer(caller_packet, flow, now)
-                self.outstanding.finish(flow)
+                self.waits.finish_answered(flow, caller_packet, now)
         if caller_packet.is_ending:
-            self._finish_unanswered(flow, now)
+            self.waits.finish_unanswered(flow, now)
         if not caller_packet.payload_bytes:
             return
         if is_new:
@@ -334,40 +352,6 @@
             )
             self.server_health.record_unanswered(server.server_id, packet, now)
 
-    def _record_handshake(self, flow: Flow, seconds: float, now: float) -> None:
-        self.journal.observe("handshake_seconds", seconds)
-        if flow.route is None or flow.sent_at < self.arrivals.resumed_at:
-            return
-        for observer in self.handshake_observers:
-            observer.record_handshake(flow.route, seconds, now)
-
-    def _record_answer(self, packet: CallerPacket, flow: Flow, now: float) -> None:
-        # With data, the packet may be the next request, which comes after a pause.
-        if packet.payload_bytes or not self._is_wait_known(flow):
-            return
-        seconds = now - flow.awaited_since
-        for observer in self.answer_observers:
-            observer.record_answer(flow.route, flow.awaited_server, seconds, now)
-
-    def _is_wait_known(self, flow: Flow) -> bool:
-        """Return whether the flow awaits an answer for as long as this host thinks.
-
-        While this host was behind with its packets, the answer may have come.
-        """
-        is_awaiting = flow.awaited_server is not None and flow.route is not None
-        return is_awaiting and flow.awaited_since >= self.arrivals.resumed_at
-
-    def _finish_unanswered(self, flow: Flow, now: float) -> None:
-        """Stop counting a flow; record a failure if it has sent a request."""
-        # A flow without data has no request yet, and an opening without an answer is
-        # a matter of the server's health.
-        has_request = flow.next_sequence is not None
-        if self.answer_observers and has_request and self._is_wait_known(flow):
-            self.journal.count("requests_unanswered")
-            for observer in self.answer_observers:
-                observer.record_failure(flow.route, flow.awaited_server, now)
-        self.outstanding.finish(flow)
-
     def _adopt_flow(self, packet: CallerPacket, now: float) -> Flow:
         """Create the record of a flow opened elsewhere or dropped here when idle."""
         flow = self.flows.open(packet.flow_key, now)
@@ -379,7 +363,7 @@
     def _discard_flow(self, flow_key: bytes, now: float) -> None:
         flow = self.flows.get(flow_key)
         if flow is not None:
-            self._finish_unanswered(flow, now)
+            self.waits.finish_unanswered(flow, now)
             self.flows.discard(flow_key)
 
     def _refuse(self, packet: CallerPacket, reason: str, now: float) -> None:
@@ -424,11 +408,3 @@
             age_ms=round(1000 * self.catalog.age(now)),
         )
         self.transmit(*self.codec.make_reset(flow_key, acknowledgement))
-
-
-def hash_caller(packet: CallerPacket) -> int:
-    """Return a 31-bit hash of the caller's IP address, without the port.
-
-    A hash of 31 bits fits the signed 32-bit integer of a peer message.
-    """
-    return zlib.crc32(packet.flow_key[:CALLER_IP_BYTES]) >> 1
--- a/hornbeamdeal/platform/_assembly.py
+++ b/hornbeamdeal/platform/_assembly.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from hornbeamdeal.dsr import (
+    AnswerTimes,
     Catalog,
     Eligibility,
     FlowTable,
@@ -13,11 +14,13 @@
     Journal,
     LinkQueue,
     OutstandingRequests,
+    OverloadAdmission,
     PacketSender,
     ReadScheduler,
     ServerHealth,
     ServerSpeeds,
     SlowStart,
+    ZoneSpill,
     make_placement,
 )
 from hornbeamdeal.kernel import Clock, Endpoint
@@ -69,7 +72,24 @@
         overage=settings.cold_overage,
         slack=settings.cold_slack or 0.0,
     )
+    answer_times = AnswerTimes(
+        arrivals=server_health.arrivals, is_out=server_health.is_out
+    )
+    zone_spill = ZoneSpill(
+        zone=settings.zone,
+        answer_times=answer_times,
+        journal=journal,
+        random_state=random_state,
+    )
+    admission = OverloadAdmission(
+        answer_times=answer_times,
+        zone_spill=zone_spill,
+        journal=journal,
+        random_state=random_state,
+    )
     return Forwarder(
+        admission=admission,
+        answer_observers=(server_speeds, answer_times, zone_spill, admission),
         catalog=catalog,
         eligibility=Eligibility(
             catalog=catalog, server_health=server_health, slow_start=slow_start
@@ -82,9 +102,9 @@
         outstanding=outstanding,
         placement=placement,
         transmit=PacketSender(packet_socket, journal),
-        answer_observers=(server_speeds,),
         handshake_observers=(server_speeds,),
         random_state=random_state,
+        zone_spill=zone_spill,
     )
 
 
--- a/tests/steps/dsr_server_speeds_steps.py
+++ b/tests/steps/dsr_server_speeds_steps.py
@@ -316,8 +316,8 @@
 @given("the answers that it sees are observed")
 def given_observed(context):
     context.observer = Mock()
-    context.host.forwarder.answer_observers = (context.observer,)
-    context.host.forwarder.handshake_observers = (context.observer,)
+    context.host.forwarder.waits.answer_observers = (context.observer,)
+    context.host.forwarder.waits.handshake_observers = (context.observer,)
 
 
 @when("the caller closes the flow")
