Count failures of servers that are out against the spill to their zone

Cause: after a zone was cut its servers went out before their failures were counted, so its last good answers drew a spill of up to 75% of a host's new flows again. Change: the spill's estimates of other zones count these failures too.

--- a/hornbeamdeal/dsr/_zone_spill.py
+++ b/hornbeamdeal/dsr/_zone_spill.py
@@ -109,9 +109,9 @@
         self.answer_times = answer_times
         self.journal = journal
         self.random_state = random_state
+        # Failures of servers that are out count here: a zone that is cut off is no better.
         self.other_answer_times_ = AnswerTimes(
             arrivals=answer_times.arrivals,
-            is_out=answer_times.is_out,
             half_life=OTHER_HALF_LIFE_SECONDS,
             minimum_samples=OTHER_MINIMUM_SAMPLES,
             minimum_beyond=OTHER_MINIMUM_BEYOND,
