--- a/tests/dsr/cold_servers.feature
+++ b/tests/dsr/cold_servers.feature
@@ -76,6 +76,12 @@
     Then 0 hosts open a flow to server 1
     And after 1.3 s, 1 hosts open a flow to server 1
 
+  Scenario: a host that resumes with an old catalog spreads the openings that waited
+    Guards against a burst to a server that restarted meanwhile (soak seed 171).
+    Given 1 hosts with a bound of 5 that know warm server 1
+    When the host resumes after a pause of 5 s with 8 openings and an old catalog
+    Then server 1 gets 1 opening packet and the caller none
+
   Scenario: a duplicate of an opening packet isn't sent to a cold server again
     Given 1 hosts with a bound of 5 that know cold server 1
     When a caller's opening packet arrives twice
@@ -149,6 +155,12 @@
       | 2     | 0       |
       | 0     | 1       |
 
+  Scenario: ranks follow the members
+    Guards against ranks that drift as they are adjusted rather than computed anew.
+    Given 20 hosts with a bound of 5 that know cold server 1
+    When the first host sees 40 changes of the members
+    Then its rank for server 1 is that of a new computation
+
   Scenario: servers are not examined where none is cold or warming up
     Guards against CPU time for slow start at 15,000 servers.
     Given 1 hosts with a bound of 5 that know warm server 1
--- a/tests/fakes/weakened_node.py
+++ b/tests/fakes/weakened_node.py
@@ -1,7 +1,7 @@
 """Runs a node without one mechanism, to check that the soak then fails.
 
 Arguments: the packet address, then the mechanism: freshness, drain, handle, epoch,
-evacuation or evacuation_news.
+evacuation, evacuation_news or slow_start.
 """
 
 import sys
@@ -12,6 +12,7 @@
     _forwarder,
     _peer_sync,
     _read_scheduler,
+    _slow_start,
 )
 from hornbeamdeal.platform import _store
 from hornbeamdeal.platform.main import main
@@ -70,6 +71,11 @@
     _peer_sync.encode_news = encode_without_zones
 
 
+def without_slow_start():
+    """Place new flows on cold servers as on others."""
+    _slow_start.SlowStart.is_enabled = False
+
+
 if __name__ == "__main__":
     globals()[f"without_{sys.argv[2]}"]()
     main(sys.argv[1])
--- a/tests/platform/soak.feature
+++ b/tests/platform/soak.feature
@@ -26,3 +26,4 @@
       | epoch           | 8    | after drain      |
       | evacuation      | 1    | after evacuation |
       | evacuation_news | 3    | after evacuation |
+      | slow_start      | 2    | too many         |
