Add a stepped benchmark of uneven load

Cause: placement and admission had no measurement of bursts, servers of differing speed, zones of differing demand and single failures (docs/load-and-zones.md, 5).

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -8,6 +8,7 @@
     ("crest",),
     ("blocking",),
     ("requests",),
+    ("uneven_load", "--short"),
     ("fleet",),
     ("processes", "--baselines"),
 )
