Measure admission under overload, and servers that shed by an error answer

Cause: sheds are not specified on the wire; a host sees nothing of a server's reset but takes an error that the caller acknowledges for a fast answer.

--- a/benchmarks/uneven_callers.py
+++ b/benchmarks/uneven_callers.py
@@ -172,13 +172,13 @@
             return
         flow.remaining -= 1
         flow.is_over = outcome != "answered" or flow.remaining <= 0
-        if outcome == "shed":
+        if outcome == "shed" and self.case.sheds == "reset":
             self._fail(request, outcome, request.kind.name != "unsafe")
             return
         flow.sequence += PAYLOAD_BYTES
         flow.acknowledgement += PAYLOAD_BYTES
         self._send_packet(flow, None, 0, flow.is_over)
-        if outcome == "failed":
+        if outcome != "answered":
             self._fail(request, outcome, request.kind.name != "unsafe")
             return
         self._end(request, outcome)
--- a/benchmarks/uneven_deployments.py
+++ b/benchmarks/uneven_deployments.py
@@ -77,7 +77,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Case:
-    """One run: `burst` is a kind, "all", or "few"; `hosts` 0 is the deployment's."""
+    """One run: `burst` is a kind, "all", or "few"; `hosts` 0 is the deployment's.
+
+    `sheds` is "reset" if servers shed by a reset, of which hosts see nothing, and "answer"
+    if by an error that callers acknowledge like an answer.
+    """
 
     deployment: str
     variant: str
@@ -86,6 +90,7 @@
     demand: str
     failure: str
     hosts: int
+    sheds: str
     seed: int
 
     @property
--- a/benchmarks/uneven_hosts.py
+++ b/benchmarks/uneven_hosts.py
@@ -5,6 +5,7 @@
 from time import process_time
 
 from hornbeamdeal.dsr import (
+    AnswerTimes,
     CallerPacket,
     Catalog,
     Eligibility,
@@ -12,6 +13,7 @@
     Forwarder,
     LinkQueue,
     OutstandingRequests,
+    OverloadAdmission,
     ServerHealth,
     SlowStart,
     Update,
@@ -20,7 +22,8 @@
 
 from .uneven_deployments import Deployment
 
-VARIANTS = ("random", "least_outstanding")
+# A placement, then components of section 3 and 4 of docs/load-and-zones.md.
+VARIANTS = ("random", "least_outstanding", "least_outstanding+overload")
 
 
 class FakeCodec:
@@ -90,16 +93,24 @@
         """Start with a full copy of the catalog and no other state."""
         catalog, health = Catalog(), ServerHealth()
         outstanding = OutstandingRequests()
+        placement_name, *parts = self.variant.split("+")
         placement = (
             RandomPlacement(self.zone, self._seed)
-            if self.variant == "random"
+            if placement_name == "random"
             else make_placement(
-                "least_outstanding",
+                placement_name,
                 outstanding=outstanding,
                 zone=self.zone,
                 random_state=self._seed,
             )
         )
+        observers, admission = [], None
+        if "overload" in parts:
+            times = AnswerTimes(arrivals=health.arrivals, is_out=health.is_out)
+            admission = OverloadAdmission(
+                answer_times=times, journal=self.journal, random_state=self._seed
+            )
+            observers += [times, admission]
         slow_start = SlowStart(catalog=catalog, host_id=str(self.index), zone=self.zone)
         self.forwarder = Forwarder(
             catalog=catalog,
@@ -114,6 +125,8 @@
             outstanding=outstanding,
             placement=placement,
             transmit=lambda data, address: self._sent.append((data, address)),
+            admission=admission,
+            answer_observers=tuple(observers),
             random_state=self._seed,
         )
         catalog.apply(update, now)
--- a/benchmarks/uneven_load.py
+++ b/benchmarks/uneven_load.py
@@ -34,12 +34,14 @@
 )  # fmt: skip
 LOADS = ("1:all", "2:all", "3:safe", "5:all", "3:all:uneven")
 SEEDS = (1, 2, 3)
+SHEDS_HELP = "how servers shed: reset (hosts see nothing) or answer (an error)"
 SHORT = {
     "deployments": ("kildevang",),
     "failures": ("none", "slow_server"),
     "hosts": (0,),
     "loads": ("3:safe",),
     "seeds": (1,),
+    "sheds": ("reset",),
 }
 WINDOW_SECONDS = 0.5  # to detect the return to normal service
 WARM_UP_SECONDS = 1.0
@@ -154,16 +156,13 @@
     """Return the cases of all combinations of the options."""
     combinations = product(
         options.deployments, options.loads, options.failures, options.hosts,
-        options.variants, options.seeds,
+        options.sheds, options.variants, options.seeds,
     )  # fmt: skip
     cases = []
-    for deployment, load, failure, hosts, variant, seed in combinations:
+    for deployment, load, failure, hosts, sheds, variant, seed in combinations:
         factor, burst, demand = (*load.split(":"), "usual")[:3]
-        cases.append(
-            Case(
-                deployment, variant, float(factor), burst, demand, failure, hosts, seed
-            )
-        )
+        load = float(factor), burst, demand
+        cases.append(Case(deployment, variant, *load, failure, hosts, sheds, seed))
     return cases
 
 
@@ -177,6 +176,7 @@
     parser.add_argument("--loads", nargs="*", default=LOADS)
     parser.add_argument("--failures", nargs="*", default=FAILURES[:1])
     parser.add_argument("--hosts", nargs="*", type=int, default=[0])
+    parser.add_argument("--sheds", nargs="*", default=["reset"], help=SHEDS_HELP)
     parser.add_argument("--seeds", nargs="*", type=int, default=SEEDS)
     parser.add_argument("--workers", type=int, default=2)
     options = parser.parse_args()
