Report the share in time of the callers that a burst of few callers doesn't come from

Cause: Jain's index falls when admission rightly refuses the few callers with the surplus. Change: figure in_time_many, of the other nine tenths of the callers.

--- a/benchmarks/uneven_load.py
+++ b/benchmarks/uneven_load.py
@@ -24,6 +24,7 @@
     END_SECONDS,
     EVENT_AT_SECONDS,
     EVENT_SECONDS,
+    FEW_CALLERS_SHARE,
     Case,
     is_event,
 )
@@ -122,6 +123,9 @@
             name: outcomes[name] / len(requests)
             for name in ("refused", "shed", "abandoned", "failed")
         },
+        "in_time_many": in_time_share(
+            [r for r in requests if r.caller >= FEW_CALLERS_SHARE * CALLERS]
+        ),
         "jain": jain_index([by_caller.get(caller, 1.0) for caller in range(CALLERS)]),
         "normal_after_s": time_to_normal(callers.requests, case.failure),
         "resets": callers.resets,
