--- a/hornbeamdeal/dsr/__init__.py
+++ b/hornbeamdeal/dsr/__init__.py
@@ -11,7 +11,13 @@
     {
         "_answer_times": ["AnswerTimes"],
         "_arrival_bound": ["ArrivalBound"],
-        "_base": ["CallerPacket", "Journal", "PacketCodec", "Transmit"],
+        "_base": [
+            "AnswerObserver",
+            "CallerPacket",
+            "Journal",
+            "PacketCodec",
+            "Transmit",
+        ],
         "_catalog": ["Catalog"],
         "_catalog_reader": ["CatalogReader"],
         "_driver": ["Node"],
@@ -29,6 +35,7 @@
         "_peer_sync": ["PeerSync", "reader_order"],
         "_peering": ["Peering"],
         "_placement": [
+            "ExpectedWait",
             "FewestPlaced",
             "LeastOutstanding",
             "Placement",
@@ -47,7 +54,9 @@
         ],
         "_relays": ["UpdateRelays"],
         "_server_health": ["ServerHealth", "UnansweredPacket"],
+        "_server_speeds": ["ServerSpeeds"],
         "_slow_start": ["SlowStart"],
+        "_speed_exchange": ["SpeedExchange"],
         "_source": ["Source", "SourceError"],
     },
 )
--- a/hornbeamdeal/platform/_assembly.py
+++ b/hornbeamdeal/platform/_assembly.py
@@ -18,6 +18,7 @@
     PacketSender,
     ReadScheduler,
     ServerHealth,
+    ServerSpeeds,
     SlowStart,
     make_placement,
 )
@@ -31,7 +32,7 @@
 from ._settings import NodeSettings
 from ._store import StoreSource
 
-PLACEMENT = "least_outstanding"
+PLACEMENT = "expected_wait"
 # The platform provides no secret to its machines, so this key only distinguishes
 # messages between nodes from other datagrams.
 PEER_KEY_ID = 1
@@ -49,9 +50,11 @@
     """Build the packet forwarder, the first component that callers need."""
     random_state = random.getrandbits(32)
     outstanding = OutstandingRequests()
+    server_speeds = ServerSpeeds(journal=journal)
     placement = make_placement(
         PLACEMENT,
         outstanding=outstanding,
+        server_speeds=server_speeds,
         zone=settings.zone,
         random_state=random_state,
     )
@@ -75,7 +78,7 @@
     )
     return Forwarder(
         admission=admission,
-        answer_observers=(answer_times, admission),
+        answer_observers=(server_speeds, answer_times, admission),
         catalog=catalog,
         eligibility=Eligibility(
             catalog=catalog, server_health=server_health, slow_start=slow_start
@@ -116,6 +119,7 @@
         server_health=forwarder.server_health,
         journal=journal,
         source=StoreSource(client=client, journal=journal),
+        server_speeds=forwarder.placement.server_speeds,
     )
     return Node(
         clock=clock,
@@ -128,7 +132,7 @@
 
 def make_peering(settings: NodeSettings, node: "Node") -> "Peering":
     """Build the peering between nodes and import the modules that only it needs."""
-    from hornbeamdeal.dsr import Peering, PeerSync
+    from hornbeamdeal.dsr import Peering, PeerSync, SpeedExchange
     from hornbeamdeal.kernel import EntryHost
     from hornbeamdeal.membership import Membership, generate_incarnation
     from hornbeamdeal.wire import PeerCodec
@@ -159,6 +163,11 @@
         make_membership=make_membership,
         on_server_changes=node.reader.handle_server_changes,
         slow_start=node.forwarder.eligibility.slow_start,
+        speed_exchange=SpeedExchange(
+            server_speeds=node.forwarder.placement.server_speeds,
+            catalog=node.catalog,
+            journal=node.journal,
+        ),
         queries_at_start=not settings.is_first_start,
     )
     codec = PeerCodec(
