--- a/benchmarks/uneven_deployments.py
+++ b/benchmarks/uneven_deployments.py
@@ -72,6 +72,17 @@
         swing=0.55,
         is_uneven=True,
     ),
+    # A fifth of kildevang, for the short cases.
+    "small": Deployment(
+        14,
+        3,
+        _kinds(116, 33, 10, "download", 1, (0.453, 1.345), (3.2, 9.0)),
+        speeds=(0.6, 1.0, 1.6),
+        long_share=0.03,
+        swing=0.55,
+        is_uneven=True,
+        servers_by_service=(("main", 12), ("bulk", 3)),
+    ),
 }
 
 
--- a/benchmarks/uneven_load.py
+++ b/benchmarks/uneven_load.py
@@ -18,6 +18,7 @@
 
 from ._runs import print_table, run_all
 from .uneven_callers import Callers
+from .uneven_components import VARIANTS
 from .uneven_deployments import (
     CALLERS,
     DEPLOYMENTS,
@@ -28,7 +29,6 @@
     Case,
     is_event,
 )
-from .uneven_hosts import VARIANTS
 
 FAILURES = (
     "none", "slow_server", "failing_server", "zone_cut", "restart_all", "restart_one",
@@ -37,7 +37,7 @@
 SEEDS = (1, 2, 3)
 SHEDS_HELP = "how servers shed: reset (hosts see nothing) or answer (an error)"
 SHORT = {
-    "deployments": ("kildevang",),
+    "deployments": ("small",),
     "failures": ("none", "slow_server"),
     "hosts": (0,),
     "loads": ("3:safe",),
@@ -175,7 +175,7 @@
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--json", action="store_true")
     parser.add_argument("--short", action="store_true", help="one load, two failures")
-    parser.add_argument("--deployments", nargs="*", default=list(DEPLOYMENTS))
+    parser.add_argument("--deployments", nargs="*", default=list(DEPLOYMENTS)[:3])
     parser.add_argument("--variants", nargs="*", default=list(VARIANTS))
     parser.add_argument("--loads", nargs="*", default=LOADS)
     parser.add_argument("--failures", nargs="*", default=FAILURES[:1])
--- a/benchmarks/uneven_stage.py
+++ b/benchmarks/uneven_stage.py
@@ -17,6 +17,8 @@
 TICK_SECONDS = 0.1
 RESTART_SECONDS = 1.0  # a restarting host drops packets for so long
 SLOW_FACTOR = 5
+PEER_DELAY_SECONDS = 0.0005
+REPORT_PEERS = 8  # as PeerSync sends reports of speeds
 
 
 class Stage:
@@ -29,6 +31,7 @@
         self.case, self.deployment = case, DEPLOYMENTS[case.deployment]
         self.now, self._events, self._numbers = 0.0, [], count()
         self.random = random.Random(case.seed)
+        self._peer_random = random.Random(case.seed)  # keeps the demand the same
         self._cut_zone, self._on_sent = "", on_sent
         zones, speeds = self.deployment.zones, self.deployment.speeds
         records = make_servers(self.deployment)
@@ -68,9 +71,22 @@
 
     def _tick(self, host: Host) -> None:
         self._on_sent(host, host.tick(self.now))
+        report = host.make_report(self.now)
+        if report:
+            self._send_report(host, report)
         if self.now < END_SECONDS:
             self.schedule(TICK_SECONDS, self._tick, host)
 
+    def _send_report(self, host: Host, report: bytes) -> None:
+        peers = [peer for peer in self.hosts_by_zone[host.zone] if peer is not host]
+        for peer in self._peer_random.sample(peers, min(len(peers), REPORT_PEERS)):
+            host.messages += 1
+            host.message_bytes += len(report)
+            self.schedule(PEER_DELAY_SECONDS, self._receive_report, peer, report)
+
+    def _receive_report(self, peer: Host, report: bytes) -> None:
+        peer.receive_report(report, self.now)
+
     def _begin_failure(self) -> None:
         failure, server = self.case.failure, self.servers[0]
         if failure == "slow_server":
--- a/tests/dsr/uneven_load.feature
+++ b/tests/dsr/uneven_load.feature
@@ -11,6 +11,7 @@
     And some requests were refused
 
     Examples:
-      | placement         |
-      | random            |
-      | least_outstanding |
+      | placement              |
+      | random                 |
+      | least_outstanding      |
+      | expected_wait+overload |
