--- a/hornbeamdeal/dsr/__init__.py
+++ b/hornbeamdeal/dsr/__init__.py
@@ -58,5 +58,6 @@
         "_slow_start": ["SlowStart"],
         "_speed_exchange": ["SpeedExchange"],
         "_source": ["Source", "SourceError"],
+        "_zone_spill": ["ZoneSpill"],
     },
 )
--- a/hornbeamdeal/dsr/_overload.py
+++ b/hornbeamdeal/dsr/_overload.py
@@ -1,11 +1,13 @@
 """Admission of new flows to overloaded services, by priority and fair to callers."""
 
 import random
+from typing import Any
 
 from ._answer_times import AnswerTimes
 from ._base import Journal
 from ._records import Route, Server
 from ._shedding import MAXIMUM_REFUSED_SHARE, ServiceShedding
+from ._zone_spill import ZoneSpill
 
 # A change of the level by less is not logged.
 LOGGED_LEVEL = 0.25
@@ -23,6 +25,8 @@
     ----------
     answer_times : AnswerTimes
         Estimates shared with the spill between zones.
+    zone_spill : ZoneSpill or None
+        Shedding does not rise while more flows will go to other zones.
     journal : Journal or None
         Receives events when shedding starts, changes and ends.
     random_state : int or None
@@ -34,6 +38,7 @@
         "journal",
         "random_state",
         "shedding_by_service_",
+        "zone_spill",
         "_active",
         "_logged_levels",
         "_random",
@@ -43,10 +48,12 @@
         self,
         *,
         answer_times: AnswerTimes,
+        zone_spill: ZoneSpill | None = None,
         journal: Journal | None = None,
         random_state: int | None = None,
     ):
         self.answer_times = answer_times
+        self.zone_spill = zone_spill
         self.journal = journal
         self.random_state = random_state
         self.shedding_by_service_: dict[str, ServiceShedding] = {}
@@ -88,6 +95,8 @@
             else:
                 load.refused += is_new
                 load.callers.add_refusal(caller)
+        if not is_admitted and self.journal is not None:
+            self.journal.count("overload_refused", f"priority_{route.priority}")
         return is_admitted
 
     def record_work(self, route: Route, caller: int, now: float) -> None:
@@ -119,13 +128,19 @@
         if now >= shedding.step_due:
             self._step(server.service, shedding, now)
 
-    def refused_shares(self, route: Route) -> dict[str, float]:
-        """Return the refused share of a route's openings by service that sheds load."""
-        return {
-            service: self._active[service].refused_shares().get(route.priority, 0.0)
-            for service in route.weights_by_service
-            if service in self._active
-        }
+    def describe(self, now: float) -> list[dict[str, Any]]:
+        """Return for operators what is refused of each service in use."""
+        return [
+            {
+                "service": service,
+                "p90_of_aim": _rounded(self.answer_times.estimate(service, now)),
+                "refused_percent_by_priority": {
+                    priority: round(100 * share)
+                    for priority, share in shedding.refused_shares().items()
+                },
+            }
+            for service, shedding in self.shedding_by_service_.items()
+        ]
 
     def _shedding_of(self, service: str, now: float) -> ServiceShedding:
         shedding = self.shedding_by_service_.get(service)
@@ -144,7 +159,9 @@
 
     def _step(self, service: str, shedding: ServiceShedding, now: float) -> None:
         estimate = self.answer_times.estimate(service, now)
-        shedding.step(estimate, now)
+        spill = self.zone_spill
+        may_rise = spill is None or not spill.is_rising(service, now)
+        shedding.step(estimate, now, may_rise=may_rise)
         if shedding.level > 0.0:
             self._active[service] = shedding
         else:
@@ -164,9 +181,13 @@
         self.journal.event(
             f"shedding_{change}",
             service=service,
-            p90_of_aim=-1 if estimate is None else round(estimate, 2),
+            p90_of_aim=_rounded(estimate),
             **{
                 f"priority_{p}_percent": round(100 * share)
                 for p, share in shedding.refused_shares().items()
             },
         )
+
+
+def _rounded(estimate: float | None) -> float | None:
+    return None if estimate is None else round(estimate, 2)
