--- a/hornbeamdeal/dsr/_base.py
+++ b/hornbeamdeal/dsr/_base.py
@@ -100,6 +100,13 @@
         """
 
 
+class HandshakeObserver(Protocol):
+    """Learns how long packets are on their way."""
+
+    def record_handshake(self, route: Route, seconds: float, now: float) -> None:
+        """Record the seconds from an opening packet to the caller's next packet."""
+
+
 class Admission(Protocol):
     """Decides under load which new flows are served."""
 
--- a/hornbeamdeal/platform/_assembly.py
+++ b/hornbeamdeal/platform/_assembly.py
@@ -101,6 +101,7 @@
         outstanding=outstanding,
         placement=placement,
         transmit=PacketSender(packet_socket, journal),
+        handshake_observers=(server_speeds,),
         random_state=random_state,
         zone_spill=zone_spill,
     )
--- a/tests/dsr/server_speeds.feature
+++ b/tests/dsr/server_speeds.feature
@@ -19,12 +19,18 @@
     Then from 4 s after the change it gets less than half of an equal share
     And within 10 s after its return it gets at least 80% of an equal share
 
-  Scenario: a server that fails at once attracts no flows
-    Guards against a black hole: a failing server has no outstanding requests.
+  Scenario Outline: a server that fails at once attracts no flows
+    Guards against a black hole: a failing server has nothing to do. Callers close their
+    flows, or say nothing after the server's reset, which the host notices after 3 to 4 s.
     Given 20 hosts and 20 alike servers
-    When one server fails each request at once for 20 s
+    When one server fails each request for 20 s, seen by the hosts after <seconds> s
     Then from 4 s after the change it gets less than an equal share
 
+    Examples:
+      | seconds |
+      | 0.01    |
+      | 4       |
+
   Scenario: a zone that is slow as a whole has no slow servers
     Guards against servers that are avoided for the time that all requests take.
     Given 20 hosts and 20 alike servers
@@ -103,6 +109,15 @@
       | the caller closes the flow         |
       | the host resets the flow           |
 
+  Scenario: the time on the way is told from the time at the server
+    Guards against fast and slow servers that look alike to callers far away.
+    Given a dsr host that knows servers 1,2,3
+    And the answers that it sees are observed
+    When caller 100.64.0.1:1000 opens a flow
+    And 30 ms pass
+    And the flow's server answers the handshake
+    Then a handshake of 30 ms is recorded
+
   Scenario: a flow without a request is no failure
     Guards against callers that open flows early and count against their servers.
     Given a dsr host that knows servers 1,2,3
--- a/tests/fakes/dsr_speed_simulation.py
+++ b/tests/fakes/dsr_speed_simulation.py
@@ -20,7 +20,8 @@
 TICK_SECONDS = 0.1
 LONG_SHARE, LONG_FACTOR = 0.03, 7
 SERVICE_SECONDS = (0.019, 0.040)
-NETWORK_SECONDS = 0.004
+# From the host to the server, on to the caller and back to the host.
+NETWORK_SECONDS = 0.0075
 
 
 class SimulatedHost:
@@ -66,6 +67,7 @@
         self.running = Counter()
         self.queues = {server: deque() for server in self.servers}
         self.failing = None
+        self.failure_seconds = NETWORK_SECONDS
         [self.route] = make_routes().routes_by_key.values()
         self.placed = []
         self.seconds = []
@@ -97,7 +99,7 @@
         host.outstanding.start(flow, server, self.now)
         self.placed.append((self.now, server))
         if server is self.failing:
-            self._schedule(NETWORK_SECONDS, self._fail, host, flow)
+            self._schedule(self.failure_seconds, self._fail, host, flow)
         elif self.running[server] < self.slots:
             self._serve(host, flow, server)
         elif len(self.queues[server]) < QUEUE_LIMIT:
@@ -121,6 +123,7 @@
 
     def _answer(self, host, flow, server):
         seconds = self.now - flow.awaited_since
+        host.speeds.record_handshake(self.route, NETWORK_SECONDS, self.now)
         self.seconds.append(seconds)
         host.speeds.record_answer(self.route, server, seconds, self.now)
         host.outstanding.finish(flow)
