Measure spill between zones, alone and with the other components

Cause: the benchmark lacked ZoneSpill and the observer of handshakes. Change: variants least_outstanding+spill and expected_wait+overload+spill.

--- a/benchmarks/uneven_components.py
+++ b/benchmarks/uneven_components.py
@@ -10,6 +10,7 @@
     ServerHealth,
     ServerSpeeds,
     SpeedExchange,
+    ZoneSpill,
     make_placement,
 )
 
@@ -19,7 +20,8 @@
     "least_outstanding",
     "expected_wait",
     "least_outstanding+overload",
-    "expected_wait+overload",
+    "least_outstanding+spill",
+    "expected_wait+overload+spill",
 )
 
 
@@ -58,12 +60,17 @@
             self.placement = make_placement(
                 placement, zone=zone, random_state=seed, **parameters
             )
+        self.spill: ZoneSpill | None = None
         times = AnswerTimes(arrivals=health.arrivals, is_out=health.is_out)
+        shared = {"answer_times": times, "journal": journal, "random_state": seed}
+        if others:
+            self.observers.append(times)
+        if "spill" in others:
+            self.spill = ZoneSpill(zone=zone, **shared)
+            self.observers.append(self.spill)
         if "overload" in others:
-            self.admission = OverloadAdmission(
-                answer_times=times, journal=journal, random_state=seed
-            )
-            self.observers += [times, self.admission]
+            self.admission = OverloadAdmission(zone_spill=self.spill, **shared)
+            self.observers.append(self.admission)
 
     def make_exchange(self, catalog: Catalog) -> SpeedExchange | None:
         """Return the exchange of speeds with peers, if the variant has speeds."""
--- a/benchmarks/uneven_hosts.py
+++ b/benchmarks/uneven_hosts.py
@@ -95,6 +95,8 @@
             transmit=lambda data, address: self._sent.append((data, address)),
             admission=parts.admission,
             answer_observers=tuple(parts.observers),
+            handshake_observers=(parts.speeds,) if parts.speeds else (),
+            zone_spill=parts.spill,
             random_state=self._seed,
         )
         catalog.apply(update, now)
--- a/tests/dsr/uneven_load.feature
+++ b/tests/dsr/uneven_load.feature
@@ -14,4 +14,4 @@
       | placement              |
       | random                 |
       | least_outstanding      |
-      | expected_wait+overload |
+      | expected_wait+overload+spill |
