--- a/hornbeamdeal/dsr/_explanation.py
+++ b/hornbeamdeal/dsr/_explanation.py
@@ -2,8 +2,9 @@
 
 from typing import Any
 
-from ._forwarder import REFUSAL_MAXIMUM_CATALOG_AGE_SECONDS, Forwarder
+from ._forwarder import Forwarder
 from ._records import Server
+from ._resets import REFUSAL_MAXIMUM_CATALOG_AGE_SECONDS
 
 
 def explain_opening(
--- a/hornbeamdeal/dsr/_forwarder.py
+++ b/hornbeamdeal/dsr/_forwarder.py
@@ -22,13 +22,10 @@
 from ._placement import Placement
 from ._records import NO_HANDLE, Route, Server
 from ._request_waits import RequestWaits
+from ._resets import Resets
 from ._server_health import ServerHealth, UnansweredPacket
 from ._zone_spill import ZoneSpill
 
-# An opening packet is refused only if the catalog is newer than this. With an older
-# catalog, a route or server may have been added that this host has not seen yet.
-REFUSAL_MAXIMUM_CATALOG_AGE_SECONDS = 2.0
-
 
 class Forwarder:
     """Forwards callers' packets by the handle that they carry.
@@ -51,6 +48,7 @@
         "outstanding",
         "placement",
         "random_state",
+        "resets",
         "transmit",
         "waits",
         "zone_spill",
@@ -77,6 +75,13 @@
         random_state: int | None = None,
     ):
         self.admission = admission or AdmitAll()
+        self.resets = Resets(
+            catalog=catalog,
+            codec=codec,
+            journal=journal,
+            server_health=server_health,
+            transmit=transmit,
+        )
         self.waits = RequestWaits(
             outstanding=outstanding,
             arrivals=server_health.arrivals,
@@ -155,7 +160,7 @@
             return
         route = self.catalog.find_route(packet.address_key)
         if route is None:
-            self._refuse(packet, "no_route", now)
+            self.resets.refuse(packet, "no_route", now)
             return
         flow = self.flows.get(packet.flow_key)
         if flow is None or flow.is_established:
@@ -230,7 +235,7 @@
         """Return whether the flow is served; refuse it otherwise."""
         is_admitted = self.admission.admits(route, hash_caller(packet), now)
         if not is_admitted:
-            self._refuse(packet, "overload", now)
+            self.resets.refuse(packet, "overload", now)
         return is_admitted
 
     def _record_unanswered_opening(
@@ -248,14 +253,9 @@
             server=last_server.server_id,
             copy=packet.copy_number,
             silence_ms=round(1000 * (now - flow.sent_at)),
-            alive_ms=self._progress_age_ms(last_server, now),
+            alive_ms=self.resets.progress_age_ms(last_server, now),
         )
 
-    def _progress_age_ms(self, server: Server, now: float) -> int:
-        """Return the milliseconds since a server's last progress, -1 if none."""
-        at = self.server_health.progress_at(server.server_id)
-        return round(1000 * (now - at)) if at > float("-inf") else -1
-
     def _send_trial(
         self, packet: CallerPacket, permitted: list[Server], now: float
     ) -> Server | None:
@@ -276,7 +276,7 @@
         if flow.tried_servers or may_be_placed:
             self.journal.count("openings_dropped", "tried_before")
             return
-        self._refuse(packet, reason, now)
+        self.resets.refuse(packet, reason, now)
 
     def _pick_service(
         self, route: Route, servers_by_service: dict[str, list[Server]]
@@ -366,23 +366,6 @@
             self.waits.finish_unanswered(flow, now)
             self.flows.discard(flow_key)
 
-    def _refuse(self, packet: CallerPacket, reason: str, now: float) -> None:
-        """Reset an unservable flow, or drop the packet if the catalog is old."""
-        age = self.catalog.age(now)
-        is_catalog_fresh = age < REFUSAL_MAXIMUM_CATALOG_AGE_SECONDS
-        outcome = "refused" if is_catalog_fresh else "dropped"
-        self.journal.count(f"openings_{outcome}", reason)
-        self.journal.event(
-            f"opening_{outcome}",
-            flow=self.codec.describe_flow(packet.flow_key),
-            reason=reason,
-            version=self.catalog.routes.version,
-            revision=self.catalog.revision,
-            age_ms=round(1000 * age),
-        )
-        if is_catalog_fresh:
-            self.transmit(*self.codec.make_reset(packet.flow_key, 0))
-
     def _reset_flow_of_packet(
         self, packet: CallerPacket, server: Server, reason: str, now: float
     ) -> None:
@@ -397,14 +380,4 @@
         now: float,
     ) -> None:
         self._discard_flow(flow_key, now)
-        self.journal.count("flows_reset", reason)
-        self.journal.event(
-            "flow_reset",
-            flow=self.codec.describe_flow(flow_key),
-            server=server.server_id,
-            reason=reason,
-            alive_ms=self._progress_age_ms(server, now),
-            revision=self.catalog.revision,
-            age_ms=round(1000 * self.catalog.age(now)),
-        )
-        self.transmit(*self.codec.make_reset(flow_key, acknowledgement))
+        self.resets.reset(flow_key, acknowledgement, server, reason, now)
