--- a/benchmarks/uneven_load.py
+++ b/benchmarks/uneven_load.py
@@ -79,8 +79,7 @@
 
 def time_to_normal(requests, failure: str) -> float:
     """Return the seconds from the end of the event until service stays normal."""
-    is_short = failure.startswith("restart")
-    end = EVENT_AT_SECONDS + (0.0 if is_short else EVENT_SECONDS)
+    end = EVENT_AT_SECONDS + EVENT_SECONDS * (not failure.startswith("restart"))
     before = [r for r in requests if WARM_UP_SECONDS <= r.asked_at < EVENT_AT_SECONDS]
     bound = in_time_share(before) - NORMAL_LOSS
     normal_from = end
@@ -187,8 +186,8 @@
     if options.short:
         vars(options).update(SHORT)
     cases = make_cases(options)
-    tasks = [(case,) for case in cases]
-    rows = summarise(cases, run_all(measure, tasks, options.workers))
+    results = run_all(measure, [(case,) for case in cases], options.workers)
+    rows = summarise(cases, results)
     if options.json:
         print(json.dumps(rows, indent=1))
         return
