--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -285,6 +285,8 @@
         used = [n for n in zone if n.is_in_rotation]
         if not used:
             used = [n for n in self.nodes if n.is_in_rotation]
+            if not used:
+                return None
         elif 2 * len(used) < len(zone):
             used = zone
         ends = f"{packet.src}{packet.dst}"
