--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,7 +1,7 @@
 """Full servers: latecomers must not end the flows that are open.
 
 Three servers hold 2,000 flows each, as many as they may. Clients that come later get no
-answer, as a full server sends none. The open flows pause for 13 s, less than the idle
+answer, as a full server sends none. The open flows pause for 13.5 s, less than the idle
 timeout, and then send their next request.
 """
 
@@ -15,18 +15,23 @@
 
 SERVICE, ADDRESS = "draw-desk", ("198.18.0.1", 8443)
 MAX_CONNS, SERVERS = 2000, 3
-LIMITS = {"max_conns": MAX_CONNS, "slots": 3, "work_seconds": 0.005}
+LIMITS = {
+    "max_conns": MAX_CONNS,
+    "slots": 3,
+    "work_seconds": 0.005,
+    "answer_bytes": 300,
+}
 CLIENTS = 60
-OPENINGS_PER_SECOND = 700
-FILL_SECONDS = 10.5
-PAUSE_SECONDS = 13.0
+OPENINGS_PER_SECOND = 600
+FILL_SECONDS = 12.0
+PAUSE_SECONDS = 13.5
 IDLE_TIMEOUT_SECONDS = 15.0
 FLOW_LIFETIME_SECONDS = 60.0
 # The sheet's traffic is 177 requests a second, and a burst is 1.7 times that for 3 s.
 LATECOMERS_PER_SECOND = 70
 LATECOMER_SECONDS = 3.0
 # Latecomers come after the openings, from shortly before the first next request.
-LATECOMERS_START_SECONDS = 11.0
+LATECOMERS_START_SECONDS = 12.0
 BUDGET_SECONDS = 3.0
 
 
