Review stand-ins: ports below those of outgoing connections, counts of log events

Change: free ports are tried on the node's address; cases can count events in the logs of the nodes.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -120,7 +120,7 @@
         f"latecomers: {visits.late_served} served, {visits.late_failed} not; "
         f"{len(deployment.violations)} flows of live servers reset",
     )
-    print("\n".join(line for line in record.lines if " case: " in line)[-1500:])
+    deployment.count_events("server_out", "server_dead", "flow_reset")
 
 
 def judge(deployment, flow, servers_by_id):
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -4,6 +4,7 @@
 import hashlib
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -217,7 +218,7 @@
         self._temporary = tempfile.TemporaryDirectory()
         self.folder = Path(self._temporary.name)
         self.block = block
-        self.ports = other.ports if other else _free_ports(6)
+        self.ports = other.ports if other else _free_ports(self.ip(1, 1), 6)
         self.packet_port, self.ready_port, self.control_port = self.ports[:3]
         self.internal_ports = self.ports[3:5]
         self.store = Store((self.ip(9, 1), self.ports[5]), self.record)
@@ -251,7 +252,8 @@
         deadline = self.now() + START_SECONDS
         while not all(n.is_in_rotation and n.is_in_touch() for n in self.nodes):
             if self.now() > deadline:
-                raise RuntimeError("not all nodes became ready")
+                missing = [n.name for n in self.nodes if not n.is_in_rotation]
+                raise RuntimeError(f"not ready in time: {missing}")
             await asyncio.sleep(0.1)
         await asyncio.sleep(1.0)
         self.record.write("case", "all nodes are ready and in touch")
@@ -266,10 +268,6 @@
         self.servers.append(server)
         return server
 
-    def free_port(self):
-        """Return a port that is free now."""
-        return _free_ports(1)[0]
-
     async def add_client(self, zone):
         """Start and return a client."""
         number = len(self.clients) + 1
@@ -312,6 +310,12 @@
         """Take note of a packet that no server wrote so."""
         self.violate("MIXED", f"{flow.source} got a changed packet")
 
+    def count_events(self, *names):
+        """Record how often nodes logged some events."""
+        logs = "".join(n.output.read_text() for n in self.nodes if n.output.exists())
+        counts = {name: logs.count(f" event={name} ") for name in names}
+        self.record.write("case", f"events in the logs of nodes: {counts}")
+
     def violate(self, rule, text):
         """Record that a rule was broken."""
         self.violations.append((rule, text))
@@ -399,19 +403,22 @@
     return hashlib.blake2b(f"{name}{ends}".encode(), digest_size=8).digest()
 
 
-def _free_ports(count):
-    """Return ports that are free now, for TCP and UDP."""
-    ports, sockets = [], []
+def _free_ports(ip, count):
+    """Return ports that are free now, below those of outgoing connections."""
+    ports = set()
     while len(ports) < count:
-        tcp = socket.socket()
-        tcp.bind(("127.0.0.1", 0))
-        udp = socket.socket(type=socket.SOCK_DGRAM)
-        sockets += [tcp, udp]
+        port = random.randrange(12_000, 30_000)
+        if _is_free(ip, port, socket.SOCK_STREAM) and _is_free(
+            ip, port, socket.SOCK_DGRAM
+        ):
+            ports.add(port)
+    return sorted(ports)
+
+
+def _is_free(ip, port, kind):
+    with socket.socket(type=kind) as opened:
         try:
-            udp.bind(tcp.getsockname())
+            opened.bind((ip, port))
         except OSError:
-            continue
-        ports.append(tcp.getsockname()[1])
-    for opened in sockets:
-        opened.close()
-    return ports
+            return False
+    return True
