--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -26,6 +26,8 @@
 RESTART_SECONDS = 0.5
 START_SECONDS = 30.0
 CONTACT_SECONDS = 4.0
+# A case that lasts longer could not run.
+LIMIT_SECONDS = 110.0
 BOUNDS = {
     "seed_lag_s": 3,
     "reuse_after_s": 2,
@@ -373,12 +375,15 @@
     """Run `case(deployment, with_trouble)`; exit with 0, 1 or 2."""
     with_trouble = os.environ.get("TROUBLE", "1") != "0"
     deployment = None
+    # The nodes are ended also if something else ends this process.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
 
     async def main():
         nonlocal deployment
         deployment = Deployment(folder, block)
         deployment.record.write("case", f"trouble: {with_trouble}")
-        await case(deployment, with_trouble)
+        async with asyncio.timeout(LIMIT_SECONDS):
+            await case(deployment, with_trouble)
 
     try:
         asyncio.run(main())
