--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -260,11 +260,12 @@
         await asyncio.sleep(1.0)
         self.record.write("case", "all nodes are ready and in touch")
 
-    def add_server(self, service, zone, **limits):
+    def add_server(self, service, zone, server_id=None, **limits):
         """Add a server; it starts with the deployment."""
         number = len(self.servers) + 1
         seed = f"{self.block}/{number}"
-        server_id = f"i-{hashlib.sha256(seed.encode()).hexdigest()[:8]}"
+        if server_id is None:
+            server_id = f"i-{hashlib.sha256(seed.encode()).hexdigest()[:8]}"
         address = (self.ip(2, number), 8080)
         server = Server(self, server_id, service, ZONES[zone], address, **limits)
         self.servers.append(server)
@@ -304,6 +305,9 @@
         """Take note of a reset that a client accepted."""
         self.resets.append((self.now(), flow, flow.is_open))
 
+    def note_server_reset(self, server, key):
+        """Take note of a reset that a server sends for a flow it doesn't hold."""
+
     def note_forged(self, server, packet):
         """Take note of a packet that its sender did not write so."""
         self.violate("UNASKED", f"{server.server_id} got a changed packet")
--- a/review/standins/server.py
+++ b/review/standins/server.py
@@ -117,6 +117,7 @@
         if packet.flags & SYN:
             self._open(packet, key, flow, addr[0])
         elif flow is None:
+            self.deployment.note_server_reset(self, key)
             self._send_to(packet.src, packet.dst, RST, packet.ack, 0, b"", packet.echo)
         else:
             self._receive(packet, flow, key)
