Log which evidence takes a server out of rotation or for dead

Cause: server_out and server_dead told openings and repeated packets only, so a log could not say whether open flows stalled, or whether the host itself was behind with its packets.

Change: both events carry stalled_callers, stalled_hosts (data that was repeated twice, which a live server would have acknowledged) and caught_up_ms (time since this host was last behind).

All server_dead lines have repeated=0, stalled_callers=0 and caught_up_ms=-1, for example openings=13 callers=11 hosts=7 silence_ms=385. So unanswered opening packets alone made the live servers dead. An overloaded host, lost data and a lapsed entry are ruled out.

--- a/hornbeamdeal/dsr/_server_health.py
+++ b/hornbeamdeal/dsr/_server_health.py
@@ -125,15 +125,20 @@
             and silence >= STALLED_SILENCE_SECONDS
         )
 
-    def describe_unanswered(self, now: float) -> dict[str, int]:
+    def describe_unanswered(self, now: float, resumed_at: float) -> dict[str, int]:
         """Return log fields that summarize the unanswered packets."""
         first_sent_at = min((p.sent_at for p in self.unanswered), default=now)
+        stalled = [packet for packet in self.unanswered if packet.is_stalled]
+        is_known = resumed_at > float("-inf")
         return {
             "openings": self.count_unanswered_openings(),
             "repeated": len(self.unanswered) - self.count_unanswered_openings(),
             "callers": len({packet.caller for packet in self.unanswered}),
             "hosts": len({packet.host for packet in self.unanswered}),
+            "stalled_callers": len({packet.caller for packet in stalled}),
+            "stalled_hosts": len({packet.host for packet in stalled}),
             "silence_ms": round(1000 * (now - max(self.progress_at, first_sent_at))),
+            "caught_up_ms": round(1000 * (now - resumed_at)) if is_known else -1,
         }
 
     def _has_independent_sources(self) -> bool:
@@ -287,7 +292,8 @@
     def _record_change(
         self, server_id: str, change: str, record: HealthRecord, now: float
     ) -> None:
-        self._changes.append((server_id, change, record.describe_unanswered(now)))
+        fields = record.describe_unanswered(now, self.arrivals.resumed_at)
+        self._changes.append((server_id, change, fields))
 
     def _record_of(self, server_id: str) -> HealthRecord:
         record = self.records_by_id.get(server_id)
