Take no server for dead on unanswered opening packets

Cause: three unanswered packets of two callers at two hosts, and 0.35 s in which no flow showed the server alive, made a server dead. Opening packets alone were enough. A full server ignores these; if its flows pause, nothing else shows it alive.

Evidence: every server_dead line of the case has repeated=0, stalled_callers=0 and caught_up_ms=-1; all logged resets have the reason server_silent; no entry was removed.

Change: a server is dead only if open flows of two callers at two hosts have stalled. A live server, full or not, acknowledges the first retransmission of data, so that a second one tells it from a dead server. Unanswered opening packets still take a server out of rotation. All three paths to a reset (data, the host's timer, a lapsed entry of a server found dead) use this verdict. First retransmissions are no longer reported to peers, as nothing counts them.

--- a/hornbeamdeal/dsr/_server_health.py
+++ b/hornbeamdeal/dsr/_server_health.py
@@ -16,20 +16,19 @@
 # Each host probes a server that is out with one opening packet per interval, which
 # is also sent to a second server.
 TRIAL_INTERVAL_SECONDS = 2.0
-# A server that is out is dead once this many packets of this many callers at this
-# many hosts went unanswered and no host has seen it alive for the given time. A
-# single host can't distinguish a silent server from a fault of its own link.
-DEAD_MINIMUM_PACKETS = 3
+# A server is dead once open flows of this many callers at this many hosts have stalled
+# and no host has seen it alive for the given time. A single caller or host can't
+# distinguish a silent server from a fault of its own link. Unanswered opening packets
+# are no evidence: a server that holds as many flows as it can ignores them. They only
+# shorten the silence.
 DEAD_MINIMUM_CALLERS = 2
 DEAD_MINIMUM_HOSTS = 2
 DEAD_SILENCE_SECONDS = 0.35
-# Criteria from open flows alone. A live server repeats its acknowledgement when
-# data is retransmitted, so a second retransmission to a live server is rare; the
-# first is common where a request takes longer than the caller's timer, so it does
-# not count as the sign of another host.
-STALLED_MINIMUM_RETRANSMISSIONS = 2
-STALLED_MINIMUM_CALLERS = 2
 STALLED_SILENCE_SECONDS = 0.8
+# A flow has stalled at its second retransmission. A live server, full or not, repeats
+# its acknowledgement when data is retransmitted, so a second retransmission to it is
+# rare; the first is common where a request takes longer than the caller's timer.
+STALLED_MINIMUM_RETRANSMISSIONS = 2
 # A removed server counts as dead if it was found dead within this time. A crashed
 # server's entry expires after three missed reports, when its unanswered packets
 # are one or two seconds old; a server that is reachable again has reported by then.
@@ -99,7 +98,7 @@
         return sum(packet.is_opening for packet in self.unanswered)
 
     def meets_death_criteria(self, now: float, resumed_at: float) -> bool:
-        """Return whether a live server would have been noticed by now.
+        """Return whether open flows have stalled as they do at no live server.
 
         Old unanswered packets are dropped: the server may be back unnoticed. Time
         before `resumed_at`, when this host was behind with its packets, is no silence
@@ -112,18 +111,8 @@
             return False
         first_sent_at = min(packet.sent_at for packet in self.unanswered)
         silence = now - max(self.progress_at, first_sent_at, resumed_at)
-        if (
-            self.is_out
-            and silence >= DEAD_SILENCE_SECONDS
-            and self._has_independent_sources()
-        ):
-            return True
-        stalled = [packet for packet in self.unanswered if packet.is_stalled]
-        return (
-            len({packet.caller for packet in stalled}) >= STALLED_MINIMUM_CALLERS
-            and len({packet.host for packet in stalled}) >= DEAD_MINIMUM_HOSTS
-            and silence >= STALLED_SILENCE_SECONDS
-        )
+        minimum = DEAD_SILENCE_SECONDS if self.is_out else STALLED_SILENCE_SECONDS
+        return silence >= minimum and self._has_independent_stalls()
 
     def describe_unanswered(self, now: float, resumed_at: float) -> dict[str, int]:
         """Return log fields that summarize the unanswered packets."""
@@ -141,21 +130,19 @@
             "caught_up_ms": round(1000 * (now - resumed_at)) if is_known else -1,
         }
 
-    def _has_independent_sources(self) -> bool:
-        callers = {packet.caller for packet in self.unanswered}
-        hosts = {p.host for p in self.unanswered if p.is_opening or p.is_stalled}
-        return (
-            len(self.unanswered) >= DEAD_MINIMUM_PACKETS
-            and len(callers) >= DEAD_MINIMUM_CALLERS
-            and len(hosts) >= DEAD_MINIMUM_HOSTS
-        )
+    def _has_independent_stalls(self) -> bool:
+        stalled = [packet for packet in self.unanswered if packet.is_stalled]
+        callers = {packet.caller for packet in stalled}
+        hosts = {packet.host for packet in stalled}
+        return len(callers) >= DEAD_MINIMUM_CALLERS and len(hosts) >= DEAD_MINIMUM_HOSTS
 
 
 class ServerHealth:
     """Decides from this host's and peers' reports which servers are out or dead.
 
-    A server that is out gets no new flows. Open flows of a dead server are reset,
-    so that their callers reconnect elsewhere at once.
+    A server that leaves opening packets unanswered is out and gets no new flows; it may
+    be full. One at which open flows have stalled is dead: its flows are reset, so that
+    their callers reconnect elsewhere at once.
 
     Parameters
     ----------
@@ -204,9 +191,7 @@
             p for p in record.unanswered if now - p.sent_at < UNANSWERED_WINDOW_SECONDS
         ]
         record.unanswered = [*recent, packet]
-        if not packet.host and (
-            packet.retransmissions != 1 or record.count_unanswered_openings()
-        ):
+        if not packet.host and (packet.is_opening or packet.is_stalled):
             self._unsent.append((server_id, packet))
         if (
             not record.is_out
--- a/tests/fakes/dsr_host.py
+++ b/tests/fakes/dsr_host.py
@@ -216,3 +216,9 @@
 def is_reset(datagram):
     """Return whether a datagram is a reset that the host made for a caller."""
     return len(datagram) == HEADER_BYTES and datagram[28] == FLAG_RST
+
+
+def caller_in_reset(datagram):
+    """Return the caller, as `ip:port`, that a reset is meant for."""
+    ip = ".".join(map(str, reversed(datagram[22:26])))
+    return f"{ip}:{int.from_bytes(datagram[26:28], 'little')}"
