Refuse addresses and ports that no packet can be sent to

Cause: the entry's address was checked by int() and inet_pton alone, which take port 0, addresses of no host, signs, spaces, underscores and digits of other scripts. Peers' lists of servers were not checked at all, so that a port of 70000 raised OverflowError on each packet. The settings took any integer and any digits as a port.

Change: check_unicast_endpoint and parse_port of the kernel decide for the store's entries, for servers in peers' updates (which then count as removed) and for the settings file. The host list and the document of the entry hosts' program state the first octet in their schema.

--- a/hornbeamdeal/document/_schema.py
+++ b/hornbeamdeal/document/_schema.py
@@ -9,7 +9,9 @@
 DURATION_PATTERN = r"^[0-9]{1,6}(\.[0-9]{1,3})?(ms|s|m)$"
 DIGEST_PATTERN = r"^[0-9a-f]{64}$"
 _OCTET = r"(25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])"
-IPV4_PATTERN = rf"^{_OCTET}(\.{_OCTET}){{3}}$"
+# Neither "this network" (0) nor a multicast, reserved or broadcast address (from 224).
+_FIRST_OCTET = r"(22[0-3]|2[01][0-9]|1[0-9]{2}|[1-9][0-9]?)"
+IPV4_PATTERN = rf"^{_FIRST_OCTET}(\.{_OCTET}){{3}}$"
 # Version numbers are sent between hosts as signed 64-bit integers.
 MAXIMUM_VERSION = 2**63 - 1
 MAXIMUM_WEIGHT = 1000
@@ -127,7 +129,7 @@
     )
 )
 _ENDPOINT_PROPERTIES = {
-    "ip": _string_schema(IPV4_PATTERN, "use an IPv4 address"),
+    "ip": _string_schema(IPV4_PATTERN, "use the IPv4 address of one host"),
     "port": _integer_schema(1, 65535),
 }
 _HOST_LIST_ENTRY_VALIDATOR = Draft202012Validator(
--- a/hornbeamdeal/dsr/_news_codec.py
+++ b/hornbeamdeal/dsr/_news_codec.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from hornbeamdeal.kernel import check_unicast_endpoint
 from hornbeamdeal.wire import peer_types
 
 from ._records import Route, RouteTable, Server, Service, Update, ZoneState
@@ -46,7 +47,8 @@
 ) -> Update | None:
     """Return the update, or None if its routes are a diff to a version not known.
 
-    A message without an epoch, of an older build, counts as one of `known_epoch`.
+    A message of an older build may lack an epoch, and counts as one of `known_epoch`. It
+    may list a server at an address that no packet can be sent to, which counts as removed.
     """
     routes = None
     if message.routes is not None:
@@ -56,13 +58,15 @@
     epoch = known_epoch if message.epoch is None else message.epoch
     withheld_ms = message.withheld_ms or {}
     is_full = message.base_revision == FULL_COPY
+    messages = message.servers or ()
+    unusable = {s.server_id: s.revision for s in messages if not _is_usable(s)}
     return Update(
         base_revision=None if is_full else message.base_revision,
         base_epoch=message.base_epoch,
         epoch=epoch,
         revision=message.revision,
-        servers=[_decode_server(server) for server in message.servers or ()],
-        removed=message.removed,
+        servers=[_decode_server(s) for s in messages if s.server_id not in unusable],
+        removed=(message.removed or {}) | unusable,
         routes=routes,
         withheld={i: ms / 1000 for i, ms in withheld_ms.items()},
         needs_exact_base=bool(message.needs_exact_base),
@@ -103,6 +107,14 @@
     )
 
 
+def _is_usable(message: Any) -> bool:
+    try:
+        check_unicast_endpoint(message.ip, message.port)
+    except ValueError:
+        return False
+    return True
+
+
 def _decode_server(message: Any) -> Server:
     return Server(
         server_id=message.server_id,
--- a/hornbeamdeal/kernel/__init__.py
+++ b/hornbeamdeal/kernel/__init__.py
@@ -19,7 +19,12 @@
             "ReplyToCaller",
         ],
         "_base": ["Clock", "Component", "ManualClock", "SystemClock"],
-        "_endpoint": ["Endpoint"],
+        "_endpoint": [
+            "Endpoint",
+            "MAXIMUM_PORT",
+            "check_unicast_endpoint",
+            "parse_port",
+        ],
         "_entry_host": ["EntryHost", "HostState", "Version"],
         "_errors": ["HornbeamdealError", "ParameterError", "UnknownPluginError"],
         "_events": [
--- a/hornbeamdeal/platform/_entries.py
+++ b/hornbeamdeal/platform/_entries.py
@@ -5,7 +5,12 @@
 from typing import Any
 
 from hornbeamdeal.dsr import Route, RouteTable, Server, Service
-from hornbeamdeal.kernel import HornbeamdealError
+from hornbeamdeal.kernel import (
+    Endpoint,
+    HornbeamdealError,
+    check_unicast_endpoint,
+    parse_port,
+)
 
 from ._packets import encode_address
 
@@ -133,10 +138,9 @@
 _HEX_DIGITS = frozenset("0123456789abcdefABCDEF")
 
 
-def _parse_address(text: Any) -> tuple[str, int]:
+def _parse_address(text: Any) -> Endpoint:
     ip, _, port = _check_text(text).rpartition(":")
-    encode_address(ip, int(port))
-    return ip, int(port)
+    return check_unicast_endpoint(ip, parse_port(port))
 
 
 def _check_text(value: Any) -> str:
--- a/hornbeamdeal/platform/_settings.py
+++ b/hornbeamdeal/platform/_settings.py
@@ -3,7 +3,12 @@
 import json
 from typing import Any
 
-from hornbeamdeal.kernel import Endpoint, HornbeamdealError
+from hornbeamdeal.kernel import (
+    MAXIMUM_PORT,
+    Endpoint,
+    HornbeamdealError,
+    parse_port,
+)
 
 SETTINGS_VARIABLE = "HORNBEAMDEAL_NODE_FILE"
 
@@ -134,8 +139,10 @@
 
 
 def _internal_port(reader: "_FieldReader", ports: Any, index: int) -> int:
-    if isinstance(ports, list) and ports and isinstance(ports[index], int):
-        return ports[index]
+    port = ports[index] if ports else None
+    is_integer = isinstance(port, int) and not isinstance(port, bool)
+    if is_integer and 1 <= port <= MAXIMUM_PORT:
+        return port
     reader.problems.append("internal_ports must be a list of port numbers")
     return 0
 
@@ -210,5 +217,8 @@
 
 
 def _parse_endpoint(text: Any) -> Endpoint | None:
-    ip, separator, port = text.rpartition(":") if isinstance(text, str) else ("",) * 3
-    return Endpoint(ip, int(port)) if separator and ip and port.isdecimal() else None
+    ip, _, port = text.rpartition(":") if isinstance(text, str) else ("",) * 3
+    try:
+        return Endpoint(ip, parse_port(port)) if ip else None
+    except ValueError:
+        return None
--- a/tests/document/document.feature
+++ b/tests/document/document.feature
@@ -78,6 +78,10 @@
       | "state": "live" | "state": "up"   | value         | 2    |
       | reservas-2      | reservas-1      | duplicate_key | 4    |
       | 127.0.0.2       | 127.0.0.256     | value         | 3    |
+      | 127.0.0.2       | 0.0.0.0         | value         | 3    |
+      | 127.0.0.2       | 224.0.0.1       | value         | 3    |
+      | 127.0.0.2       | 255.255.255.255 | value         | 3    |
+      | 7102            | 0               | value         | 4    |
       | 7102            | 71020           | value         | 4    |
       | 7202            | 7201            | rule          | 6    |
       | "ip": "127.0.0.1", "port": 7201 | "ip": "127.0.0.1" | missing_key | 5 |
--- a/tests/dsr/catalog.feature
+++ b/tests/dsr/catalog.feature
@@ -19,6 +19,20 @@
     When an update lists server 1 of revision 11
     Then server 1 is listed
 
+  Scenario Outline: a server that a peer lists at <ip> port <port> is not used
+    Guards against packets that no host can send, when a peer of an older build passes
+    on such an entry.
+    Given a catalog with version 7
+    When a peer's update of revision 9 lists server 1 at <ip> port <port>
+    Then server 1 is not listed
+
+    Examples:
+      | ip              | port  |
+      | 10.1.0.1        | 0     |
+      | 10.1.0.1        | 70000 |
+      | 10.1.0.1        | -1    |
+      | 255.255.255.255 | 8000  |
+
   Scenario: an update on an unknown base revision is rejected
     Given a catalog with version 7
     Then an update on revision 40 can't be applied
--- a/tests/steps/dsr_catalog_steps.py
+++ b/tests/steps/dsr_catalog_steps.py
@@ -240,6 +240,15 @@
     return True
 
 
+@when("a peer's update of revision {revision:d} lists server 1 at {ip} port {port:d}")
+def when_listed_at(context, revision, ip, port):
+    update = make_update(revision, base=3, servers=[make_server(1, revision=revision)])
+    message = encode_news(update, age=0.0, position=0, previous_routes=None)
+    message.servers[0].ip, message.servers[0].port = ip, port
+    decoded = decode_news(message, context.catalog.routes, context.catalog.epoch)
+    context.catalog.apply(decoded, 1.0)
+
+
 @given("a reader that gets a server's listing and removal in one watch")
 def given_watch_with_both(context):
     removed = {make_server(2).server_id: READ_REVISION}
--- a/tests/steps/malformed_input_steps.py
+++ b/tests/steps/malformed_input_steps.py
@@ -1,6 +1,8 @@
 """Steps that feed malformed input to each decoder."""
 
+import copy
 import json
+from ipaddress import ip_address
 
 import trio
 from behave import then, when
@@ -188,6 +190,9 @@
         return
     assert isinstance(server, Server)
     server.service.encode()
+    ip, port = ip_address(server.address[0]), server.address[1]
+    assert not (ip.is_multicast or ip.is_reserved or ip.is_unspecified)
+    assert 0 < port < 65_536
     assert 1.0 / max(server.slots, 1) > 0
 
 
@@ -336,6 +341,25 @@
     check_refused(decode_server, "i-00ff", data, 1)
 
 
+@then('no server is decoded at the address "{address}"')
+def then_address_unusable(context, address):
+    data = json.dumps({**ENTRY, "address": address})
+    check_refused(decode_server, "i-00ff", data, 1)
+
+
+@then("settings whose {setting} is {value} are refused")
+def then_settings_refused(context, setting, value):
+    fields = copy.deepcopy(SETTINGS)
+    parent, _, name = setting.rpartition(".")
+    (fields[parent] if parent else fields)[name] = json.loads(value)
+    try:
+        decode_settings(fields)
+    except SettingsError as error:
+        assert setting in str(error), error
+        return
+    raise AssertionError(f"{setting} {value} was accepted")
+
+
 @then("a configuration with {fault} is unusable")
 def then_configuration_unusable(context, fault):
     def with_weights(*weights):
--- a/tests/wire/malformed_input.feature
+++ b/tests/wire/malformed_input.feature
@@ -43,6 +43,44 @@
       | a service that is no text      |
       | more slots than any server has |
 
+  Scenario Outline: an entry whose address is "<address>" names no server
+    Guards against servers that no packet can be sent to: every send fails at once, and
+    each host takes the server out only after callers got no answer.
+    Then no server is decoded at the address "<address>"
+
+    Examples:
+      | address              |
+      | 10.1.0.1:0           |
+      | 10.1.0.1:65536       |
+      | 10.1.0.1:-1          |
+      | 10.1.0.1:99999999999999999999 |
+      | 10.1.0.1:+80         |
+      | 10.1.0.1:8_0         |
+      | 10.1.0.1:٨٠          |
+      | 10.1.0.1: 80         |
+      | 0.0.0.0:80           |
+      | 0.1.2.3:80           |
+      | 224.0.0.1:80         |
+      | 240.0.0.1:80         |
+      | 255.255.255.255:80   |
+      | :80                  |
+
+  Scenario Outline: settings whose <setting> is <value> are refused
+    Guards against a node that ends at its start, or opens a port it was not given.
+    Then settings whose <setting> is <value> are refused
+
+    Examples:
+      | setting               | value               |
+      | listen.datagram_addr  | "10.1.0.10:0"       |
+      | listen.ready          | "10.1.0.10:65536"   |
+      | platform.address      | "10.200.1.7:99999"  |
+      | platform.address      | "10.200.1.7:+80"    |
+      | internal_ports        | [7720, 65536]       |
+      | internal_ports        | [0, 7735]           |
+      | internal_ports        | [-1, 7735]          |
+      | internal_ports        | [true, 7735]        |
+      | internal_ports        | [1e999, 7735]       |
+
   Scenario Outline: a configuration with <fault> is unusable
     Then a configuration with <fault> is unusable
 
