Refuse entries with more slots than a server can have

What callers would see: an entry with 2^31 - 1 slots is chosen for nearly all new flows of its service, as placement divides the requests under way by the slots.

Cause: slots were bounded by the integers of the messages between hosts alone.

Change: at most 10,000 slots, the bound that the document of the entry hosts' program has.

--- a/hornbeamdeal/platform/_entries.py
+++ b/hornbeamdeal/platform/_entries.py
@@ -19,8 +19,10 @@
 # One key for each evacuated zone, which follows the prefix.
 EVACUATION_PREFIX = "op/evacuate/"
 SERVER_NUMBER_BYTES = 8
+# New flows follow the slots, so a server that claims far more than another has would get
+# nearly all of them. The document of the entry hosts' program has the same bound.
+MAXIMUM_SLOTS = 10_000
 # Messages between hosts carry integers of 32 and 64 bits.
-MAXIMUM_SLOTS = 2**31 - 1
 MAXIMUM_VERSION = 2**63 - 1
 MAXIMUM_MILLISECONDS = 2**31 - 1
 MAXIMUM_PRIORITY = 2**31 - 1
--- a/tests/steps/malformed_input_steps.py
+++ b/tests/steps/malformed_input_steps.py
@@ -193,7 +193,7 @@
     ip, port = ip_address(server.address[0]), server.address[1]
     assert not (ip.is_multicast or ip.is_reserved or ip.is_unspecified)
     assert 0 < port < 65_536
-    assert 1.0 / max(server.slots, 1) > 0
+    assert server.slots <= 10_000
 
 
 def check_routes(data):
@@ -337,6 +337,9 @@
         "deeply nested arrays": NESTED,
         "a service that is no text": json.dumps({**ENTRY, "service": "\ud800"}),
         "more slots than any server has": json.dumps({**ENTRY, "slots": 10**400}),
+        "slots that would draw all new flows": json.dumps(
+            {**ENTRY, "slots": 2**31 - 1}
+        ),
     }[fault]
     check_refused(decode_server, "i-00ff", data, 1)
 
--- a/tests/wire/malformed_input.feature
+++ b/tests/wire/malformed_input.feature
@@ -42,6 +42,7 @@
       | deeply nested arrays           |
       | a service that is no text      |
       | more slots than any server has |
+      | slots that would draw all new flows |
 
   Scenario Outline: an entry whose address is "<address>" names no server
     Guards against servers that no packet can be sent to: every send fails at once, and
