Pass on no key with half of a surrogate pair, and survive unexpected first reads

Found here: such a key at the end of a page ended the node at each start, as the request for the next page could not be encoded and the start expected no other error than SourceError.

Cause: keys were used without a check; only the values of entries were checked.

Change: check_key raises EntryError for such a key. It is logged once, names no server and is told to no peer, as no host can list a server under it; the next page begins after the last usable key. The two first reads of a node (at the start, and by the reader) log and count an unexpected error and try again, as later reads did.

--- a/hornbeamdeal/dsr/__init__.py
+++ b/hornbeamdeal/dsr/__init__.py
@@ -30,7 +30,7 @@
         "_news_codec": ["decode_news", "encode_news"],
         "_outstanding_requests": ["OutstandingRequests"],
         "_overload": ["OverloadAdmission"],
-        "_packet_io": ["PacketSender", "forward_pending"],
+        "_packet_io": ["PacketSender", "forward_pending", "log_unexpected_error"],
         "_packet_socket": ["open_packet_socket"],
         "_peer_sync": ["PeerSync", "reader_order"],
         "_peering": ["Peering"],
--- a/hornbeamdeal/dsr/_catalog_reader.py
+++ b/hornbeamdeal/dsr/_catalog_reader.py
@@ -138,6 +138,11 @@
                 self.journal.event("load_failed", reason=error.reason, detail=error)
                 await trio.sleep(LOAD_RETRY_SECONDS)
                 continue
+            except Exception as error:
+                # As in `_read`: a peer may still send the catalog.
+                log_unexpected_error(self.journal, error)
+                await trio.sleep(LOAD_RETRY_SECONDS)
+                continue
             self._apply(update)
             # Treat a possibly stale copy as current, so that of the hosts that start
             # together only one makes the first consistent read.
--- a/hornbeamdeal/platform/_entries.py
+++ b/hornbeamdeal/platform/_entries.py
@@ -46,6 +46,14 @@
     __slots__ = ()
 
 
+def check_key(key: str) -> None:
+    """Raise EntryError if a key can't be sent on, to the store or to peers."""
+    try:
+        key.encode()
+    except UnicodeEncodeError as error:
+        raise EntryError(f"key {key!r} is no Unicode text") from error
+
+
 def decode_server(server_id: str, value: bytes, revision: int) -> Server:
     """Decode the entry that a server writes for itself.
 
--- a/hornbeamdeal/platform/_startup.py
+++ b/hornbeamdeal/platform/_startup.py
@@ -16,6 +16,7 @@
     SourceError,
     forward_pending,
     log_changed_zones,
+    log_unexpected_error,
 )
 from hornbeamdeal.kernel import Clock, Endpoint
 from hornbeamdeal.wire import BlockingHttpClient, run_blocking
@@ -65,6 +66,11 @@
     except SourceError as error:
         journal.event("load_failed", reason=error.reason, detail=error)
         return error.reason
+    except Exception as error:
+        # An answer that no check foresaw must not end the start, as the next one would
+        # end in the same way; peers may have the catalog.
+        log_unexpected_error(journal, error)
+        return "unexpected"
     finally:
         client.close()
     now = time.monotonic()
--- a/hornbeamdeal/platform/_store.py
+++ b/hornbeamdeal/platform/_store.py
@@ -13,6 +13,7 @@
     EVACUATION_PREFIX,
     SERVER_PREFIX,
     EntryError,
+    check_key,
     decode_evacuated_zone,
     decode_routes,
     decode_server,
@@ -90,10 +91,7 @@
                 if CONFIG_KEY not in map(self._key_of, items):
                     raise self._make_error("missing", "no configuration in the store")
                 return self._make_update(items, None, revision)
-            last_key = self._key_of(page_items[-1])
-            if last_key <= query.get("after", ""):
-                raise self._make_error("garbled", "a page that does not advance")
-            query["after"] = last_key
+            query["after"] = self._last_key(page_items, query.get("after", ""))
 
     async def watch(self, after_revision: int, wait_seconds: float) -> Update:
         """Return changes after a revision, waiting up to `wait_seconds` for the first.
@@ -113,6 +111,21 @@
             raise self._make_error("garbled", f"{name} is no list")
         return values
 
+    def _last_key(self, items: list[Any], after: str) -> str:
+        """Return the key after which the next page begins.
+
+        It is sent in a request, so that the last usable key of the page is taken.
+        """
+        for key in map(self._key_of, reversed(items)):
+            try:
+                check_key(key)
+            except EntryError:
+                continue
+            if key > after:
+                return key
+            break
+        raise self._make_error("garbled", "a page that does not advance")
+
     def _key_of(self, item: Any) -> str:
         key = item.get("key") if isinstance(item, dict) else None
         if not isinstance(key, str):
@@ -177,6 +190,13 @@
         self, update: Update, servers_by_id: dict[str, Server], item: dict[str, Any]
     ) -> None:
         key, revision = item["key"], _check_revision(item["revision"])
+        try:
+            check_key(key)
+        except EntryError as error:
+            # Peers are not told, since no host can list a server under such a key.
+            if not item.get("deleted"):
+                self._report_unusable(key, revision, str(error))
+            return
         if key == CONFIG_KEY:
             if not item.get("deleted"):
                 self._apply_routes(update, b64decode(item["value"]), revision)
--- a/tests/dsr/catalog.feature
+++ b/tests/dsr/catalog.feature
@@ -47,6 +47,11 @@
     When a reader gets an answer that raises an unexpected error
     Then it logs the error and reads again after a back-off
 
+  Scenario: an unexpected error in a reader's first read does not end the reader
+    Guards against one answer of the store that ends every node which starts.
+    When a reader's first read raises an unexpected error
+    Then the reader loads the catalog with the next answer
+
   Scenario: peers learn that a server left that the reader never listed
     Guards against a server that is used for ever because it came and went between two
     answers to the reader, while another host had read its entry.
--- a/tests/platform/adapter.feature
+++ b/tests/platform/adapter.feature
@@ -134,6 +134,29 @@
     When a server's entry becomes unreadable
     Then the adapter's watch returns no drained and one removed server
 
+  Scenario: a key with half a surrogate pair is not passed on to peers
+    Guards against a message to the peers that can't be encoded, so that no update
+    reaches them while the entry is there.
+    Given a stand-in store with 3 servers on pages of 50
+    When a server's entry has half a surrogate pair in its key
+    Then the adapter's watch tells of one unusable key and no removal
+    And peers can be sent the adapter's update
+    And a node's log can hold it
+
+  Scenario: a key with half a surrogate pair at the end of a page
+    Guards against a request for the next page that can't be encoded, which ended the
+    node at each start.
+    Given a stand-in store with 3 servers on pages of 3
+    When a server's entry has half a surrogate pair in its key
+    And the adapter loads the store
+    Then it has 3 servers and the configuration
+    And one unusable entry is logged
+
+  Scenario: an unexpected error in the first read does not end the start
+    Guards against one answer of the store that ends each node as it starts.
+    When the first read of a start raises an unexpected error
+    Then the start goes on and counts 1 unexpected error
+
   Scenario: a start that takes long reads the store again
     Guards against a host that starts slowly and serves by a first read that was old.
     Given a start that forwards packets between imports and reads the store each 2.4 s
--- a/tests/steps/dsr_catalog_steps.py
+++ b/tests/steps/dsr_catalog_steps.py
@@ -5,6 +5,7 @@
 import trio
 from behave import given, then, when
 from fakes.dsr_host import Host, make_routes, make_server
+from fakes.unexpected_source import UnexpectedSource
 from specs.store_epochs import check
 from trio.testing import MockClock
 
@@ -147,15 +148,6 @@
         assert result_of(shuffled) == result_of(history), f"seed {seed}"
 
 
-class FailingSource:
-    """A store whose answers raise an error that no check foresaw."""
-
-    async def watch(self, after_revision, wait_seconds):
-        raise ZeroDivisionError("unforeseen")
-
-    load = watch
-
-
 @when("a reader gets an answer that raises an unexpected error")
 def when_unexpected_error(context):
     context.host = Host()
@@ -166,7 +158,7 @@
         read_scheduler=ReadScheduler(freshness=3.0, random_state=1),
         server_health=context.host.server_health,
         journal=context.host.journal,
-        source=FailingSource(),
+        source=UnexpectedSource(),
     )
     trio.run(context.reader._read)
 
@@ -180,6 +172,27 @@
     assert 0 < scheduler.next_read_delay(float("-inf"), now) < 10
 
 
+@when("a reader's first read raises an unexpected error")
+def when_first_read_fails(context):
+    context.host = Host()
+    update = make_update(5, servers=[make_server(1)], routes=make_routes())
+    reader = CatalogReader(
+        clock=context.host.clock,
+        catalog=context.host.catalog,
+        read_scheduler=ReadScheduler(freshness=3.0, random_state=1),
+        server_health=context.host.server_health,
+        journal=context.host.journal,
+        source=UnexpectedSource(update, errors=1),
+    )
+    trio.run(reader._load_first, clock=MockClock(autojump_threshold=0))
+
+
+@then("the reader loads the catalog with the next answer")
+def then_loaded(context):
+    assert context.host.catalog.is_complete
+    assert context.host.journal.counts["unexpected_errors", "ZeroDivisionError"] == 1
+
+
 BASE_REVISION, LISTED_REVISION, READ_REVISION = 20, 24, 26
 
 
--- a/tests/steps/platform_adapter_steps.py
+++ b/tests/steps/platform_adapter_steps.py
@@ -3,21 +3,24 @@
 import copy
 import json
 import os
+from unittest.mock import patch
 
 import trio
 from behave import given, then, when
 from fakes.dsr_host import Host, QueuedPackets, RecordingJournal
 from fakes.platform_store import PlatformStore, config_entry, server_entry
+from fakes.unexpected_source import UnexpectedSource
 
-from hornbeamdeal.dsr import SourceError
+from hornbeamdeal.dsr import SourceError, encode_news
 from hornbeamdeal.kernel import Endpoint, ManualClock
 from hornbeamdeal.observability import BufferedJournal
+from hornbeamdeal.platform import _startup
 from hornbeamdeal.platform._entries import EntryError, decode_routes, decode_server
 from hornbeamdeal.platform._packets import EchoPacketCodec, encode_address
 from hornbeamdeal.platform._settings import SettingsError, decode_settings
 from hornbeamdeal.platform._startup import ForwardingImportHook, load_first_catalog
 from hornbeamdeal.platform._store import StoreSource
-from hornbeamdeal.wire import HttpClient
+from hornbeamdeal.wire import HttpClient, PeerCodec
 
 EXAMPLE = bytes.fromhex(
     "4433221100000000d5c3b2a10000000007004064419c010012c6bb0180000000"
@@ -388,6 +391,47 @@
     assert context.reloads == count, context.reloads
 
 
+@when("a server's entry has half a surrogate pair in its key")
+def when_surrogate_key(context):
+    context.revision_before = context.store.revision
+    # The key comes after the first server's and before the second one's.
+    address = "10.0.0.9:8000"
+    context.store.put(entry_key(1) + "\ud800", server_entry("reservas", address))
+
+
+@then("the adapter's watch tells of one unusable key and no removal")
+def then_unusable_key(context):
+    context.update = watch_from(context, context.revision_before)
+    assert (context.update.servers, context.update.removed) == ([], {})
+    assert context.journal.counts["entries_unusable", ""] == 1
+
+
+@then("peers can be sent the adapter's update")
+def then_peers_can_be_sent(context):
+    message = encode_news(context.update, age=0.0, position=0, previous_routes=None)
+    codec = PeerCodec(
+        host_id="h", incarnation=1, keys_by_id={1: b"k" * 16}, sending_key_id=1
+    )
+    assert codec.decode(codec.encode(message)).is_ok()
+
+
+@when("the first read of a start raises an unexpected error")
+def when_first_read_fails(context):
+    context.host = Host()
+    store = Endpoint(STORE_IP, STORE_PORT)
+    source = UnexpectedSource()
+    with patch.object(_startup, "StoreSource", lambda client, journal: source):
+        context.reason = _startup.load_catalog(
+            store, context.host.forwarder, context.host.journal, may_be_stale=False
+        )
+
+
+@then("the start goes on and counts 1 unexpected error")
+def then_start_goes_on(context):
+    assert context.reason == "unexpected"
+    assert context.host.journal.counts["unexpected_errors", "ZeroDivisionError"] == 1
+
+
 @when('a host starts {when} and the store answers a consistent read with "{failure}"')
 def when_host_starts(context, when, failure):
     context.reads = []
