--- a/tests/observability/logs.feature
+++ b/tests/observability/logs.feature
@@ -4,6 +4,12 @@
     When the log event "document_in_force" has a detail with quotes and a line break
     Then the log line is one line with the detail escaped
 
+  Scenario: a value of any length takes one short line
+    Guards against log lines of a megabyte, whose length another writer decides.
+    When the log event "entry_unusable" has a detail of 900000 characters
+    Then the log line has at most 4000 characters
+    And the log line has the start and the end of the detail
+
   Scenario: each refusal reason has its own counter
     When refusals are counted for two reasons
     Then the rendered metrics contain both reasons
--- a/tests/steps/observability_steps.py
+++ b/tests/steps/observability_steps.py
@@ -16,6 +16,25 @@
     context.line = formatter.format(record)
 
 
+@when('the log event "{event}" has a detail of {count:d} characters')
+def when_long_event_logged(context, event, count):
+    formatter = KeyValueFormatter("{message}", style="{")
+    record = logging.LogRecord("x", logging.INFO, "", 0, event, None, None)
+    record.detail = "first " + "=" * count + " last"
+    context.line = formatter.format(record)
+
+
+@then("the log line has at most {count:d} characters")
+def then_line_short(context, count):
+    assert len(context.line) <= count, len(context.line)
+
+
+@then("the log line has the start and the end of the detail")
+def then_start_and_end(context):
+    assert 'detail="first =' in context.line
+    assert context.line.endswith('= last"')
+
+
 @then("the log line is one line with the detail escaped")
 def then_one_escaped_line(context):
     assert "\n" not in context.line
