Bound what unusable entries cost in memory and messages

What operators would see: with many odd entries, each full read of the store sent all their keys to every peer, and a node remembered each one that was ever reported, also long after it was removed.

Cause: a reader's update to the peers held all removals of its answer, which in a full read are the unusable entries; the revisions for which an entry was reported were never dropped.

Change: removals of a full read are told only for servers that the reader listed, since only peers at its exact base apply the update; reports are forgotten once the store no longer has the key. entry_unusable gives the whole key, as it did for evacuations.

--- a/hornbeamdeal/dsr/_catalog_reader.py
+++ b/hornbeamdeal/dsr/_catalog_reader.py
@@ -246,8 +246,8 @@
         """Return only the changes, since peers need no more even after a full read.
 
         `base` is the epoch and revision of the catalog before them. A server that was
-        not listed here may be listed by a peer, so the answer's removals are kept; a
-        full read doesn't tell them.
+        not listed here may be listed by a peer, so a watch's removals are kept. Those of
+        a full read are unusable entries, which peers at the exact base don't list.
         """
         catalog, routes = self.catalog, self.catalog.routes
         base_epoch, base_revision = base
@@ -255,18 +255,19 @@
         removed_servers = [server for change, server in changes if change == "removed"]
         withheld = catalog.provisional.withheld_remaining(catalog.confirmed_at)
         changed_ids = {server.server_id for server in servers}
+        is_full = answer.base_revision is None
         return Update(
             base_epoch=base_epoch,
             base_revision=base_revision,
             epoch=catalog.epoch,
             revision=catalog.revision,
             servers=servers,
-            removed=answer.removed
+            removed=({} if is_full else answer.removed)
             | {
                 server.server_id: catalog.removals_by_id[server.server_id].revision
                 for server in removed_servers
             },
-            needs_exact_base=answer.base_revision is None,
+            needs_exact_base=is_full,
             routes=routes if routes is not previous else None,
             withheld={i: s for i, s in withheld.items() if i in changed_ids},
         )
--- a/hornbeamdeal/platform/_store.py
+++ b/hornbeamdeal/platform/_store.py
@@ -184,12 +184,16 @@
         except (ValueError, KeyError, TypeError, AttributeError) as error:
             raise self._make_error("garbled", f"an item: {error!r}") from error
         update.servers = list(servers_by_id.values())
+        if base_revision is None:
+            self._forget_reports({item["key"] for item in items})
         return update
 
     def _apply_item(
         self, update: Update, servers_by_id: dict[str, Server], item: dict[str, Any]
     ) -> None:
         key, revision = item["key"], _check_revision(item["revision"])
+        if item.get("deleted"):
+            self._reported_revisions.pop(key, None)
         try:
             check_key(key)
         except EntryError as error:
@@ -234,14 +238,19 @@
         update.zones.append(ZoneState(zone, not item.get("deleted"), revision))
 
     def _decode_item(self, server_id: str, item: dict[str, Any]) -> Server | None:
-        revision = item["revision"]
+        key, revision = item["key"], item["revision"]
         try:
             value = b64decode(item["value"], validate=True)
             return decode_server(server_id, value, revision)
         except (ValueError, TypeError, EntryError) as error:
-            self._report_unusable(server_id, revision, str(error))
+            self._report_unusable(key, revision, str(error))
             return None
 
+    def _forget_reports(self, listed_keys: set[str]) -> None:
+        """Forget the unusable entries that the store no longer has."""
+        for key in set(self._reported_revisions) - listed_keys:
+            del self._reported_revisions[key]
+
     def _report_unusable(self, key: str, revision: int, problem: str) -> None:
         if self._reported_revisions.get(key) != (self.epoch_, revision):
             self._reported_revisions[key] = (self.epoch_, revision)
--- a/tests/dsr/catalog.feature
+++ b/tests/dsr/catalog.feature
@@ -58,6 +58,11 @@
     Given a reader that gets a server's listing and removal in one watch
     Then its update removes the server from a peer that listed it
 
+  Scenario: a full read tells peers nothing of entries that were never usable
+    Guards against messages to the peers that hold every odd entry after each full read.
+    Given a reader that makes a full read with 200 unusable entries
+    Then its update has no removals
+
   Scenario: a full read does not hide that a server left
     Given a reader that makes a full read after a server came and went
     Then a peer that listed the server needs a full copy
--- a/tests/platform/adapter.feature
+++ b/tests/platform/adapter.feature
@@ -157,6 +157,21 @@
     When the first read of a start raises an unexpected error
     Then the start goes on and counts 1 unexpected error
 
+  Scenario: unusable entries that are removed take no memory
+    Guards against memory use that grows with every odd entry that ever was.
+    Given a stand-in store with 3 servers and 200 unreadable entries
+    When the adapter loads the store
+    And the unreadable entries are removed
+    And the adapter loads the store
+    Then the adapter remembers no unusable entry
+
+  Scenario: unusable entries that a watch sees removed take no memory
+    Given a stand-in store with 3 servers and 200 unreadable entries
+    When the adapter loads the store
+    And the unreadable entries are removed
+    And the adapter watches from its last read
+    Then the adapter remembers no unusable entry
+
   Scenario: a start that takes long reads the store again
     Guards against a host that starts slowly and serves by a first read that was old.
     Given a start that forwards packets between imports and reads the store each 2.4 s
--- a/tests/steps/dsr_catalog_steps.py
+++ b/tests/steps/dsr_catalog_steps.py
@@ -275,6 +275,18 @@
     broadcast_read(context, answer, is_full=True)
 
 
+@given("a reader that makes a full read with {count:d} unusable entries")
+def given_full_read_with_unusable(context, count):
+    unusable = {f"i-odd-{number}": READ_REVISION for number in range(count)}
+    answer = make_update(READ_REVISION, servers=[make_server(1)], removed=unusable)
+    broadcast_read(context, answer, is_full=True)
+
+
+@then("its update has no removals")
+def then_no_removals(context):
+    assert not context.message.removed, len(context.message.removed)
+
+
 def peer_with_server():
     listed = make_server(2, revision=LISTED_REVISION)
     return catalog_at(READ_REVISION - 1, [listed])
--- a/tests/steps/platform_adapter_steps.py
+++ b/tests/steps/platform_adapter_steps.py
@@ -192,6 +192,30 @@
     context.store.put(entry_key(99), b"\xff\xfe")
 
 
+@given("a stand-in store with {count:d} servers and {faults:d} unreadable entries")
+def given_store_with_faults(context, count, faults):
+    given_store(context, count, 500)
+    context.unreadable_keys = [entry_key(1000 + fault) for fault in range(faults)]
+    for key in context.unreadable_keys:
+        context.store.put(key, b"\xff\xfe")
+
+
+@when("the unreadable entries are removed")
+def when_unreadable_removed(context):
+    for key in context.unreadable_keys:
+        context.store.delete(key)
+
+
+@when("the adapter watches from its last read")
+def when_watches(context):
+    watch_from(context, context.update.revision)
+
+
+@then("the adapter remembers no unusable entry")
+def then_none_remembered(context):
+    assert context.reported_revisions == {}, len(context.reported_revisions)
+
+
 async def _call_adapter(context, call):
     """Run the stand-in store and call the adapter; return its result or SourceError."""
     async with trio.open_nursery() as nursery:
