Read watch answers of several large values

Cause: a response had at most 1.5 MB, room for one such value.

Change: 6 MB, four such values. A larger answer is still made up for by a full read.

Test: "a watch over several values of the maximum size is answered" in tests/platform/adapter.feature fails with the package of the commit before and passes now.

--- a/hornbeamdeal/wire/_http_exchange.py
+++ b/hornbeamdeal/wire/_http_exchange.py
@@ -7,9 +7,9 @@
 from hornbeamdeal.kernel import Endpoint, HornbeamdealError
 
 RECEIVE_BYTES = 65536
-# A value of the platform has at most 1 MB; the rest leaves room for headers and,
-# in a page of items, for the text encoding of values.
-MAXIMUM_BODY_BYTES = 1_500_000
+# A watch of the platform's store returns all values that were written since the one
+# before: up to four of 1 MiB in base64.
+MAXIMUM_BODY_BYTES = 6_000_000
 
 
 class Stream(Protocol):
@@ -87,7 +87,9 @@
                 f"{endpoint} sent an invalid HTTP response: {error!r}"
             ) from error
         if len(reader.body) > MAXIMUM_BODY_BYTES:
-            raise HttpError(f"{target} of {endpoint} is larger than 1.5 MB")
+            raise HttpError(
+                f"{target} of {endpoint} is larger than {MAXIMUM_BODY_BYTES} bytes"
+            )
     status = reader.parser.get_status_code()
     response = HttpResponse(status, bytes(reader.body), reader.headers)
     return response, reader.parser.should_keep_alive()
--- a/tests/platform/adapter.feature
+++ b/tests/platform/adapter.feature
@@ -134,6 +134,12 @@
     When a server's entry becomes unreadable
     Then the adapter's watch returns no drained and one removed server
 
+  Scenario: a watch over several values of the maximum size is answered
+    Guards against a full read of the store each time that large values come together.
+    Given a stand-in store with 3 servers on pages of 50
+    When 3 odd entries of 1048576 bytes are written
+    Then the adapter's watch tells of 3 unusable entries
+
   Scenario: a key with half a surrogate pair is not passed on to peers
     Guards against a message to the peers that can't be encoded, so that no update
     reaches them while the entry is there.
--- a/tests/steps/platform_adapter_steps.py
+++ b/tests/steps/platform_adapter_steps.py
@@ -358,6 +358,20 @@
     context.store.put(entry_key(1), b"{")
 
 
+@when("{count:d} odd entries of {size:d} bytes are written")
+def when_large_entries(context, count, size):
+    context.revision = context.store.revision
+    for number in range(count):
+        context.store.put(entry_key(1000 + number), b"x" * size)
+
+
+@then("the adapter's watch tells of {count:d} unusable entries")
+def then_unusable_entries(context, count):
+    update = watch_from(context, context.revision)
+    assert not isinstance(update, SourceError), update
+    assert context.journal.counts["entries_unusable", ""] == count
+
+
 @when("the store drops its history")
 def when_compacted(context):
     context.revision = context.store.revision - 1
