soak: servers that are full while callers hold their flows

Nodes without stalled_flows take servers for dead by opening packets, as before, and the soak has to find that.

--- a/tests/platform/soak.feature
+++ b/tests/platform/soak.feature
@@ -32,3 +32,4 @@
       | evacuation      | 1    | after evacuation |
       | evacuation_news | 3    | after evacuation |
       | slow_start      | 2    | too many         |
+      | stalled_flows   | 401  | was reset        |
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -37,6 +37,7 @@
         self.evacuation_random = random.Random(f"evacuation {seed}")
         self.restarts_servers = False
         self.cold_random = random.Random(f"cold {seed}")
+        self.full_random = random.Random(f"full {seed}")
         self.next_port = FIRST_ADDED_PORT
         self.log = []
 
@@ -61,6 +62,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.restore_store)
             nursery.start_soon(self.evacuate_zones)
+            nursery.start_soon(self.fill_servers)
             if self.restarts_servers:
                 nursery.start_soon(self.restart_servers)
             while trio.current_time() < end_time:
@@ -187,6 +189,16 @@
             is_removed = self.cold_random.random() < 0.5
             await self.world.restart_cold(server, down_seconds, is_removed)
 
+    async def fill_servers(self):
+        """Let one or all servers be full for a while, twice."""
+        servers, uniform = self.world.servers, self.full_random.uniform
+        for full_servers in ([self.full_random.choice(servers)], servers):
+            await trio.sleep(uniform(0.0, 2.0))
+            self.log.append(f"{trio.current_time():.2f} {len(full_servers)} full")
+            self.world.fill(full_servers, True)
+            await trio.sleep(uniform(2.0, 4.0))
+            self.world.fill(full_servers, False)
+
     async def drain_server(self):
         server = self.random.choice(self.world.servers[:2])
         self.world.drain(server)
