--- a/tests/dsr/server_health.feature
+++ b/tests/dsr/server_health.feature
@@ -293,6 +293,11 @@
       | 2     | 40      |
       | 7     | 60      |
 
+  Scenario: of full servers only one that fails has its flows reset
+    Guards against callers that wait for a full server which died, and against resets at
+    the other full ones.
+    Then in 10 runs with 7 hosts and 60 callers at servers for 10 flows each request lost at a dead server is reset within 1200 ms
+
   Scenario Outline: flows of a live server are never reset over narrow links
     Guards against resets when uploads fill the links of several hosts: packets wait
     or are dropped there while the server acknowledges what reaches it.
--- a/tests/fakes/dsr_lossy_simulation.py
+++ b/tests/fakes/dsr_lossy_simulation.py
@@ -47,7 +47,8 @@
     opening packets. Callers pause for up to `pause_seconds` between requests.
 
     `reset_delays` are the times from a lost request, or from the server's failure if that
-    was later, to the reset; `given_up` counts requests at failed servers without one.
+    was later, to the reset; `given_up` counts requests at failed servers without one, and
+    `untrue_resets` resets of flows at live servers.
     """
 
     def __init__(
@@ -79,6 +80,7 @@
         self.ignored_openings = 0
         self.reset_delays = []
         self.given_up = 0
+        self.untrue_resets = 0
         self._waiting_by_host = {}
         self.uploaded = 0
         self.hosts = [
@@ -135,6 +137,8 @@
         """Count a reset and tell the caller."""
         self.resets += 1
         flow = self.flows_by_caller.get(caller_in_reset(data))
+        if flow is None or flow.handle not in self.failed_at_by_handle:
+            self.untrue_resets += 1
         if flow is not None:
             flow.take_reset()
 
--- a/tests/steps/dsr_server_health_steps.py
+++ b/tests/steps/dsr_server_health_steps.py
@@ -235,23 +235,40 @@
         assert simulation.resets == 0, f"seed {seed}: {simulation.resets} resets"
 
 
-@then(
-    "in {runs:d} runs with {hosts:d} hosts and {callers:d} callers each request lost at"
-    " a dead server is reset within {milliseconds:d} ms"
-)
-def then_lost_requests_reset(context, runs, hosts, callers, milliseconds):
+def check_lost_requests_reset(runs, hosts, callers, milliseconds, capacity=None):
     for seed in range(runs):
         simulation = LossySimulation(
-            hosts=hosts, loss=0.0, random_state=seed, callers=callers
+            hosts=hosts, loss=0.0, random_state=seed, callers=callers, capacity=capacity
         )
         simulation.schedule(2.0, lambda s=simulation: s.fail_server(SERVER.handle))
         simulation.run(seconds=5.0)
         assert simulation.reset_delays, f"seed {seed}: no reset"
         assert simulation.given_up == 0, f"seed {seed}: {simulation.given_up} gave up"
+        assert simulation.untrue_resets == 0, f"seed {seed}: untrue resets"
+        assert capacity is None or simulation.ignored_openings > 100
         longest = max(simulation.reset_delays)
         assert longest <= milliseconds / 1000, f"seed {seed}: {longest:.2f} s"
 
 
+@then(
+    "in {runs:d} runs with {hosts:d} hosts and {callers:d} callers each request lost at"
+    " a dead server is reset within {milliseconds:d} ms"
+)
+def then_lost_requests_reset(context, runs, hosts, callers, milliseconds):
+    check_lost_requests_reset(runs, hosts, callers, milliseconds)
+
+
+@then(
+    "in {runs:d} runs with {hosts:d} hosts and {callers:d} callers at servers for"
+    " {capacity:d} flows each request lost at a dead server is reset within"
+    " {milliseconds:d} ms"
+)
+def then_lost_requests_reset_when_full(
+    context, runs, hosts, callers, capacity, milliseconds
+):
+    check_lost_requests_reset(runs, hosts, callers, milliseconds, capacity)
+
+
 @then(
     "in {runs:d} runs with {hosts:d} hosts at {mbps:g} Mbit/s and {uploaders:d}"
     " uploading callers no flow is reset"
