Contain the errors of one connection

A connection to the internal TCP port that was reset before it was accepted ended the node too.

Cause: each port contained the errors that its author knew. httptools.HttpParserUpgrade is no HttpParserError, and getpeername of a reset connection was called outside the try; both reached the nursery of the process.

Change: wire/_connections.py is the one place that accepts connections; an unexpected error ends its connection only and is counted and logged. Pages, the message port and its sending side use it. An offer of another protocol is ignored (RFC 9110, 7.8). A client of the store reports status 101 as HttpError, which its readers expect.

--- a/hornbeamdeal/dsr/_peering.py
+++ b/hornbeamdeal/dsr/_peering.py
@@ -1,5 +1,6 @@
 """Sends and receives messages between a node and its peers."""
 
+from functools import partial
 from typing import Any
 
 import trio
@@ -15,7 +16,7 @@
 
 from ._base import Journal
 from ._link_queue import LinkQueue
-from ._packet_io import call_guarded
+from ._packet_io import call_guarded, log_unexpected_error
 from ._peer_sync import PeerSync
 from ._records import RouteTable, Update
 
@@ -56,7 +57,11 @@
         self.link_queue = link_queue
         self.listen = listen
         self.port_ = UdpPort(listen=listen, handle_datagram=self._receive)
-        self.bulk_port_ = BulkPort(listen=listen, handle_datagram=self._receive)
+        self.bulk_port_ = BulkPort(
+            listen=listen,
+            handle_datagram=self._receive,
+            record_error=partial(log_unexpected_error, journal),
+        )
 
     async def run(self) -> None:
         """Exchange messages with peers until cancelled."""
--- a/hornbeamdeal/platform/_service.py
+++ b/hornbeamdeal/platform/_service.py
@@ -2,10 +2,11 @@
 
 import os
 import signal
+from functools import partial
 
 import trio
 
-from hornbeamdeal.dsr import Node
+from hornbeamdeal.dsr import Node, log_unexpected_error
 from hornbeamdeal.kernel import Endpoint
 from hornbeamdeal.wire import serve_http
 
@@ -82,11 +83,13 @@
 async def _serve_pages(settings: NodeSettings, node: Node) -> None:
     pages = NodePages(node=node, host_id=settings.host_id, zone=settings.zone)
     metrics = Endpoint(settings.ip, settings.metrics_port)
+    record_error = partial(log_unexpected_error, node.journal)
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(
-            serve_http, settings.readiness_listen, pages.answer_readiness
-        )
-        nursery.start_soon(serve_http, metrics, pages.answer_operators)
+        for listen, answer in (
+            (settings.readiness_listen, pages.answer_readiness),
+            (metrics, pages.answer_operators),
+        ):
+            nursery.start_soon(serve_http, listen, answer, record_error)
 
 
 async def _join_peers(
--- a/hornbeamdeal/wire/_http.py
+++ b/hornbeamdeal/wire/_http.py
@@ -3,6 +3,7 @@
 import logging
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from functools import partial
 from urllib.parse import parse_qsl, urlsplit
 
 import httptools
@@ -11,6 +12,7 @@
 
 from hornbeamdeal.kernel import Endpoint
 
+from ._connections import STREAM_ERRORS, ErrorRecorder, log_error, serve_connections
 from ._http_exchange import RECEIVE_BYTES, HttpError, HttpResponse, exchange
 
 # Longer than the 30 s for which the platform may delay the response to a watch.
@@ -19,8 +21,7 @@
 # Requests have no body, so this limits the request line and headers.
 MAXIMUM_REQUEST_BYTES = 65536
 _REASONS_BY_STATUS = {200: "OK", 400: "Bad Request", 404: "Not Found"}
-_STREAM_ERRORS = (OSError, trio.BrokenResourceError, trio.ClosedResourceError)
-_REQUEST_ERRORS = (trio.TooSlowError, HttpError, *_STREAM_ERRORS)
+_REQUEST_ERRORS = (trio.TooSlowError, HttpError, *STREAM_ERRORS)
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,30 +124,26 @@
 async def serve_http(
     listen: Endpoint,
     respond: Callable[[HttpRequest], Awaitable[HttpResponse | None]],
+    record_error: ErrorRecorder = log_error,
 ) -> None:
     """Serve GET requests, one per connection; a response of None sends nothing."""
-    limit = trio.CapacityLimiter(MAXIMUM_CONNECTIONS)
-
-    async def serve_connection(stream: trio.SocketStream) -> None:
-        try:
-            async with limit, stream:
-                with trio.move_on_after(REQUEST_TIMEOUT_SECONDS):
-                    await _serve_one(stream, respond)
-        except _STREAM_ERRORS:
-            return
-
-    await trio.serve_tcp(serve_connection, listen.port, host=listen.ip)
+    await serve_connections(
+        listen,
+        partial(_serve_one, respond=respond, record_error=record_error),
+        maximum_connections=MAXIMUM_CONNECTIONS,
+        timeout_seconds=REQUEST_TIMEOUT_SECONDS,
+        record_error=record_error,
+    )
 
 
-async def _serve_one(stream, respond) -> None:
+async def _serve_one(stream, respond, record_error) -> None:
     request = await _read_request(stream)
     if request is None:
         return
     try:
         response = await respond(request)
-    except Exception:
-        # An error in one page must not end the daemon, which also serves callers.
-        logging.getLogger("hornbeamdeal").exception("unexpected_error")
+    except Exception as error:
+        record_error(error)
         response = HttpResponse(500, b"internal error; see the log\n")
     if response is not None:
         await stream.send_all(_encode_response(response))
@@ -163,6 +160,10 @@
             return None
         try:
             reader.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            # The request offers another protocol after it, which a server may ignore
+            # (RFC 9110, 7.8).
+            break
         except httptools.HttpParserError as error:
             logging.getLogger("hornbeamdeal").info("no_http_request: %r", error)
             return None
--- a/hornbeamdeal/wire/_http_exchange.py
+++ b/hornbeamdeal/wire/_http_exchange.py
@@ -82,7 +82,7 @@
             )
         try:
             reader.parser.feed_data(data)
-        except httptools.HttpParserError as error:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             raise HttpError(
                 f"{endpoint} sent an invalid HTTP response: {error!r}"
             ) from error
--- a/hornbeamdeal/wire/_ports.py
+++ b/hornbeamdeal/wire/_ports.py
@@ -1,11 +1,14 @@
 """UDP and TCP ports for datagrams and larger messages."""
 
 from collections.abc import Callable
+from functools import partial
 
 import trio
 
 from hornbeamdeal.kernel import Endpoint
 
+from ._connections import ErrorRecorder, log_error, run_contained, serve_connections
+
 MAXIMUM_DATAGRAM_BYTES = 65507
 RECEIVE_BUFFER_BYTES = 4 * 1024 * 1024
 # Datagrams read in a row before other tasks run.
@@ -66,47 +69,52 @@
 class BulkPort:
     """A TCP port for messages too large for a datagram, one per connection."""
 
-    __slots__ = ("handle_datagram", "listen")
+    __slots__ = ("handle_datagram", "listen", "record_error")
 
-    def __init__(self, *, listen: Endpoint, handle_datagram: DatagramHandler):
+    def __init__(
+        self,
+        *,
+        listen: Endpoint,
+        handle_datagram: DatagramHandler,
+        record_error: ErrorRecorder = log_error,
+    ):
         self.listen = listen
         self.handle_datagram = handle_datagram
+        self.record_error = record_error
 
     async def send(self, data: bytes, destination: Endpoint) -> None:
         """Send one message; drop it without an error if that fails or times out."""
         with trio.move_on_after(BULK_TIMEOUT_SECONDS):
-            try:
-                # Peers and address translation identify hosts by this address.
-                stream = await trio.open_tcp_stream(
-                    destination.ip, destination.port, local_address=self.listen.ip
-                )
-                async with stream:
-                    await stream.send_all(len(data).to_bytes(LENGTH_BYTES, "big"))
-                    await stream.send_all(data)
-            except (OSError, trio.BrokenResourceError):
-                return
+            await run_contained(
+                partial(self._send_message, data, destination), self.record_error
+            )
 
     async def run(self) -> None:
         """Handle received messages until cancelled."""
-        limit = trio.CapacityLimiter(MAXIMUM_BULK_CONNECTIONS)
-
-        async def serve_connection(stream: trio.SocketStream) -> None:
-            async with limit, stream:
-                with trio.move_on_after(BULK_TIMEOUT_SECONDS):
-                    await self._receive_message(stream)
+        await serve_connections(
+            self.listen,
+            self._receive_message,
+            maximum_connections=MAXIMUM_BULK_CONNECTIONS,
+            timeout_seconds=BULK_TIMEOUT_SECONDS,
+            record_error=self.record_error,
+        )
 
-        await trio.serve_tcp(serve_connection, self.listen.port, host=self.listen.ip)
+    async def _send_message(self, data: bytes, destination: Endpoint) -> None:
+        # Peers and address translation identify hosts by this address.
+        stream = await trio.open_tcp_stream(
+            destination.ip, destination.port, local_address=self.listen.ip
+        )
+        async with stream:
+            await stream.send_all(len(data).to_bytes(LENGTH_BYTES, "big"))
+            await stream.send_all(data)
 
     async def _receive_message(self, stream: trio.SocketStream) -> None:
         peer = stream.socket.getpeername()
         buffer = bytearray()
-        try:
-            while chunk := await stream.receive_some():
-                buffer += chunk
-                if len(buffer) > MAXIMUM_BULK_BYTES + LENGTH_BYTES:
-                    return
-        except trio.BrokenResourceError:
-            return
+        while chunk := await stream.receive_some():
+            buffer += chunk
+            if len(buffer) > MAXIMUM_BULK_BYTES + LENGTH_BYTES:
+                return
         length = int.from_bytes(buffer[:LENGTH_BYTES], "big")
         if len(buffer) == length + LENGTH_BYTES:
             self.handle_datagram(
