Use a new address of the store without a restart

Cause: a reload kept the new settings for the time limit of a stop alone; the client of the store and the reader's schedule had copies from the start.

--- a/hornbeamdeal/platform/_service.py
+++ b/hornbeamdeal/platform/_service.py
@@ -12,6 +12,7 @@
 
 from ._pages import NodePages
 from ._settings import NodeSettings, SettingsError, load_settings
+from ._settings_changes import apply_settings
 from ._startup import ForwardingImportHook
 
 # The settings file may change without a SIGHUP.
@@ -34,7 +35,7 @@
         self._modified_at = self._read_modification_time()
 
     def reload(self) -> None:
-        """Load the settings file; keep the current settings if it is invalid."""
+        """Load the settings file and apply it; keep the settings if it is invalid."""
         self._modified_at = self._read_modification_time()
         try:
             loaded = load_settings(self.path)
@@ -43,6 +44,7 @@
             return
         changes = self.settings.differences(loaded)
         self.node.journal.event("settings_reloaded", changed=len(changes), **changes)
+        apply_settings(self.node, self.settings, loaded)
         self.settings = loaded
 
     async def watch(self) -> None:
--- a/hornbeamdeal/platform/_store.py
+++ b/hornbeamdeal/platform/_store.py
@@ -6,6 +6,7 @@
 from urllib.parse import urlencode
 
 from hornbeamdeal.dsr import Journal, Server, SourceError, Update, ZoneState
+from hornbeamdeal.kernel import Endpoint
 from hornbeamdeal.wire import HttpError, HttpResponse
 
 from ._entries import (
@@ -38,6 +39,9 @@
     async def get(self, target: str, timeout_seconds: float) -> HttpResponse:
         """Return the response; raise HttpError if there is none in time."""
 
+    def move_to(self, endpoint: Endpoint) -> None:
+        """Send the next requests to another endpoint; one in progress fails."""
+
 
 class StoreSource:
     """Reads routes and servers from the store.
@@ -65,6 +69,10 @@
         # Epoch and revision of each key's last unusable entry.
         self._reported_revisions: dict[str, tuple[int | None, int]] = {}
 
+    def move_to(self, endpoint: Endpoint) -> None:
+        """Read the store at another address from now on; a read in progress fails."""
+        self.client.move_to(endpoint)
+
     async def load(self, may_be_stale: bool) -> Update:
         """Return all routes and servers as an update.
 
--- a/hornbeamdeal/wire/_blocking_http.py
+++ b/hornbeamdeal/wire/_blocking_http.py
@@ -57,6 +57,11 @@
             if not is_reusable:
                 self.close()
 
+    def move_to(self, endpoint: Endpoint) -> None:
+        """Send the next requests to another endpoint."""
+        self.endpoint = endpoint
+        self.close()
+
     def close(self) -> None:
         """Close the connection."""
         if self.connection_ is not None:
--- a/hornbeamdeal/wire/_http.py
+++ b/hornbeamdeal/wire/_http.py
@@ -70,21 +70,35 @@
         The timeout excludes the time to connect.
         """
         is_reusable = False
+        endpoint = self.endpoint
         try:
             if self.stream_ is None:
                 await self._connect()
+            self._check_endpoint(endpoint)
             with trio.fail_after(timeout_seconds):
-                response, is_reusable = await exchange(
-                    self.stream_, self.endpoint, target, keep_alive=True
+                response, keeps_alive = await exchange(
+                    self.stream_, endpoint, target, keep_alive=True
                 )
-                return response
+            self._check_endpoint(endpoint)
+            is_reusable = keeps_alive
+            return response
         except _REQUEST_ERRORS as error:
-            text = f"GET {target} from {self.endpoint}: {error!r}"
+            text = f"GET {target} from {endpoint}: {error!r}"
             raise HttpError(text) from error
         finally:
             if not is_reusable:
                 self.close()
 
+    def move_to(self, endpoint: Endpoint) -> None:
+        """Send the next requests to another endpoint; one in progress fails."""
+        self.endpoint = endpoint
+        self.close()
+
+    def _check_endpoint(self, endpoint: Endpoint) -> None:
+        # A response of the former endpoint may be older than what is known by now.
+        if endpoint != self.endpoint:
+            raise HttpError(f"requests go to {self.endpoint} from now on")
+
     def close(self) -> None:
         """Close the connection immediately."""
         if self.stream_ is not None:
