--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -31,6 +31,9 @@
 OPENING_COPIES_S = (0.2, 0.6)
 OPENING_TIMEOUT_S = 1.4
 RETRANSMIT_S, RETRANSMIT_MAX_S = 0.2, 1.6
+# A packet that would wait longer at a link is lost, as the link is full.
+LINK_FULL_S = 1.2
+DATAGRAM_HEAD_BYTES = 28  # IP and UDP
 
 
 class Record:
@@ -429,7 +432,11 @@
         self.name = f"front-{number}"
         self.ip = world.ip(NODE_NET, number)
         self.process = None
-        self.delay_s = 0.0  # how long packets wait at the machine's link, on the way in
+        # Packets wait at the machine's link on the way in if its bandwidth counts.
+        self.has_narrow_link = False
+        self.link_free_at = 0.0
+        self.longest_wait_s = 0.0
+        self.lost_at_link = 0
         self.faults = []
 
     def settings(self, is_first_start):
@@ -597,14 +604,20 @@
 
     def route(self, client, packet):
         """Send a client's packet to its node, as the platform's routers do."""
-        address = (client.node.ip, self.packet_port)
-        if client.node.delay_s:
-            loop = asyncio.get_running_loop()
-            loop.call_later(
-                client.node.delay_s, client.transport.sendto, packet, address
-            )
-        else:
+        node, address = client.node, (client.node.ip, self.packet_port)
+        if not node.has_narrow_link:
             client.transport.sendto(packet, address)
+            return
+        loop = asyncio.get_running_loop()
+        starts_at = max(loop.time(), node.link_free_at)
+        wait_s = starts_at - loop.time()
+        if wait_s > LINK_FULL_S:
+            node.lost_at_link += 1
+            return
+        bits = 8 * (len(packet) + DATAGRAM_HEAD_BYTES)
+        node.link_free_at = starts_at + bits / (1e6 * node.link_mbps)
+        node.longest_wait_s = max(node.longest_wait_s, wait_s)
+        loop.call_at(node.link_free_at, client.transport.sendto, packet, address)
 
     async def run_store(self):
         """Serve the store at the address that the settings name."""
