Log what answers of the store hold and where two hosts differ

Three explanations fitted: the reader's update was lost, the host rejected it, or the update lacked the change. A start logged nothing of its reads, and a reader nothing of what it sent.

Change: `catalog_loaded` also at the start, with the newest revision among the pages; `answer_applied` with the entries of an answer and those sent to peers; updates carry the sender's version, a fingerprint of its entries (XOR of hashes of key and revision) and the newest revision among them, and a host at the same position with others logs `catalog_differs`. Nothing is decided by them yet.

--- a/hornbeamdeal/dsr/_catalog.py
+++ b/hornbeamdeal/dsr/_catalog.py
@@ -1,8 +1,8 @@
 """One host's replica of the routes and servers, and its age."""
 
-from ._base import Journal
 from ._cold_times import ColdTimes
 from ._evacuations import ZoneEvacuations
+from ._fingerprint import EntryFingerprint
 from ._handles import HandleIndex
 from ._provisional import ENTRY_LIFETIME_SECONDS, ProvisionalServers
 from ._records import NO_REVISION, Route, RouteTable, Server, Service, Update
@@ -35,6 +35,9 @@
         Epoch of the store that `revision` belongs to.
     revision : int
         Store revision up to which all changes are applied; 0 before the first.
+    newest_revision : int
+        Store revision after which no entry was read; above `revision` after a full
+        read whose pages differed in age, until the changes between them are applied.
     confirmed_at : float
         Monotonic time at which the store was known to hold nothing newer.
     evacuations : ZoneEvacuations
@@ -59,6 +62,7 @@
         "epoch",
         "evacuations",
         "handles",
+        "newest_revision",
         "provisional",
         "removals",
         "revision",
@@ -66,6 +70,7 @@
         "servers_by_id",
         "_accepting_servers_by_service",
         "_evacuated_services",
+        "_fingerprint",
     )
 
     def __init__(
@@ -80,9 +85,11 @@
         self.changed_zones: list[str] = []
         self.epoch = 0
         self.revision = 0
+        self.newest_revision = 0
         self.confirmed_at = float("-inf")
         self.routes: RouteTable | None = None
         self.servers_by_id: dict[str, Server] = {}
+        self._fingerprint = EntryFingerprint()
         self.removals = Removals(flow_lifetime=flow_lifetime)
         self.handles = HandleIndex()
         self._accepting_servers_by_service: dict[str, list[Server]] = {}
@@ -95,6 +102,22 @@
         """Return whether a configuration and the servers are loaded."""
         return self.routes is not None and self.revision > 0
 
+    @property
+    def is_exact(self) -> bool:
+        """Return whether no entry is newer than the catalog's revision."""
+        return self.newest_revision <= self.revision
+
+    @property
+    def version(self) -> int:
+        """Return the version of the configuration in force, 0 before the first."""
+        return self.routes.version if self.routes else 0
+
+    def fingerprint(self, now: float) -> int | None:
+        """Return the fingerprint of the entries at the revision, None if not exact."""
+        if not self.is_exact:
+            return None
+        return self._fingerprint.value_with(self.evacuations.evacuated_states(now))
+
     def age(self, now: float) -> float:
         """Return the seconds since the catalog was last known to be current."""
         return now - self.confirmed_at
@@ -214,6 +237,7 @@
         if update.routes is not None:
             self._update_routes(update.routes)
         self.revision = max(self.revision, update.revision)
+        self.newest_revision = max(self.newest_revision, update.newest_revision)
         if lists_all:
             self.removals.copied_revision = max(
                 self.removals.copied_revision, update.revision
@@ -257,6 +281,9 @@
             routes=self.routes,
             withheld=self.provisional.withheld_remaining(self.confirmed_at),
             zones=self.evacuations.evacuated_states(now),
+            newest_revision=self.newest_revision,
+            fingerprint=self.fingerprint(now),
+            version=self.version,
         )
 
     def _superseded_ids(self, entries: list[Server]) -> list[str]:
@@ -294,10 +321,10 @@
             if is_unchanged:
                 continue
             unconfirmed = known.with_revision(NO_REVISION)
-            self.servers_by_id[server_id] = unconfirmed
+            self._put_server(unconfirmed)
             if entry is None or entry.revision == NO_REVISION:
                 changes.append(("unconfirmed", unconfirmed))
-        self.epoch, self.revision = update.epoch, 0
+        self.epoch, self.revision, self.newest_revision = update.epoch, 0, 0
         self.removals.start_epoch()
         self.provisional.clear()
         return changes
@@ -337,7 +364,7 @@
             return False
         self.provisional.release(server.server_id)
         self.removals.by_id.pop(server.server_id, None)
-        self.servers_by_id[server.server_id] = server
+        self._put_server(server)
         self.cold_times.update(server, now, is_new_epoch)
         return True
 
@@ -352,11 +379,16 @@
         if known is None:
             return None
         del self.servers_by_id[server_id]
+        self._fingerprint.replace(known, None)
         self.cold_times.discard(server_id)
         self.provisional.release(server_id)
         self.removals.by_id[server_id] = Removal(known, revision, now)
         return known
 
+    def _put_server(self, server: Server) -> None:
+        self._fingerprint.replace(self.servers_by_id.get(server.server_id), server)
+        self.servers_by_id[server.server_id] = server
+
     def _update_routes(self, routes: RouteTable) -> None:
         if self.routes is None or routes.version > self.routes.version:
             self.routes = routes
@@ -391,18 +423,3 @@
                 self._accepting_servers_by_service.setdefault(
                     server.service, []
                 ).append(server)
-
-
-def log_changed_zones(catalog: Catalog, journal: Journal, now: float) -> None:
-    """Log the zones that the latest update or expiry told of."""
-    for zone in catalog.changed_zones:
-        state = catalog.evacuations.state_of(zone, now)
-        name = "zone_evacuated" if state.is_evacuated else "zone_returned"
-        journal.count("zone_changes", name)
-        journal.event(
-            name,
-            zone=zone,
-            revision=state.revision,
-            epoch=catalog.epoch,
-            unconfirmed_ms=round(1000 * state.remaining_seconds),
-        )
--- a/hornbeamdeal/dsr/_catalog_reader.py
+++ b/hornbeamdeal/dsr/_catalog_reader.py
@@ -7,7 +7,8 @@
 from hornbeamdeal.kernel import Clock
 
 from ._base import Journal
-from ._catalog import Catalog, log_changed_zones
+from ._catalog import Catalog
+from ._catalog_log import log_changed_zones, log_loaded
 from ._packet_io import log_unexpected_error
 from ._read_scheduler import ReadScheduler
 from ._records import RouteTable, Server, Update
@@ -161,7 +162,7 @@
             # together only one makes the first consistent read.
             now = self.clock.monotonic()
             self.catalog.confirm(now)
-            self._log_loaded(update, round(now - started, 3), may_be_stale=True)
+            self._log_loaded(update, now - started, may_be_stale=True)
 
     async def _read(self) -> None:
         was_reading = self.read_scheduler.is_reading
@@ -204,7 +205,7 @@
         if (update.epoch, update.revision) < (epoch, revision):
             self._record_lost_history(update, epoch, revision)
         self._apply_answer(update, started)
-        self._log_loaded(update, round(now - started, 3), may_be_stale=False)
+        self._log_loaded(update, now - started, may_be_stale=False)
 
     def _record_lost_history(self, update: Update, epoch: int, revision: int) -> None:
         """Discard the known position, since a consistent read is behind it.
@@ -246,6 +247,8 @@
         now = self.clock.monotonic()
         evacuations = self.catalog.evacuations
         new_changes.zones = [evacuations.state_of(zone, now) for zone in changed_zones]
+        new_changes.fingerprint = self.catalog.fingerprint(now)
+        self._log_answer(update, new_changes)
         self.read_scheduler.record_answer(not new_changes.is_empty, now)
         if self.peering is not None:
             self.peering.broadcast(new_changes, previous)
@@ -284,34 +287,39 @@
             needs_exact_base=is_full,
             routes=routes if routes is not previous else None,
             withheld={i: s for i, s in withheld.items() if i in changed_ids},
+            newest_revision=catalog.newest_revision,
+            version=catalog.version,
+        )
+
+    def _log_answer(self, answer: Update, new_changes: Update) -> None:
+        """Log what an answer held and what of it goes to peers."""
+        if answer.is_empty and new_changes.is_empty:
+            return
+        self.journal.event(
+            "answer_applied",
+            is_full=answer.base_revision is None,
+            epoch=answer.epoch,
+            base_revision=new_changes.base_revision,
+            revision=new_changes.revision,
+            newest_revision=new_changes.newest_revision,
+            version=self.catalog.version,
+            entries=answer.entry_count,
+            sent_entries=new_changes.entry_count,
+            fingerprint=new_changes.fingerprint,
         )
 
     def _apply(self, update: Update) -> list[tuple[str, Any]]:
-        version = self._version_number()
+        version = self.catalog.version
         changes = self.catalog.apply(update, self.clock.monotonic())
         self.handle_server_changes(changes)
-        if self._version_number() != version:
+        if self.catalog.version != version:
             self.journal.event(
                 "version_in_force",
-                version=self._version_number(),
+                version=self.catalog.version,
                 previous=version,
                 revision=update.revision,
             )
         return changes
 
-    def _version_number(self) -> int:
-        routes: RouteTable | None = self.catalog.routes
-        return routes.version if routes else 0
-
     def _log_loaded(self, update: Update, seconds: float, may_be_stale: bool) -> None:
-        self.journal.event(
-            "catalog_loaded",
-            seconds=seconds,
-            stale=may_be_stale,
-            store_epoch=update.epoch,
-            store_revision=update.revision,
-            store_version=update.routes.version if update.routes else 0,
-            revision=self.catalog.revision,
-            version=self._version_number(),
-            servers=len(self.catalog.servers_by_id),
-        )
+        log_loaded(self.catalog, self.journal, update, round(seconds, 3), may_be_stale)
--- a/hornbeamdeal/dsr/_news_codec.py
+++ b/hornbeamdeal/dsr/_news_codec.py
@@ -57,6 +57,9 @@
         withheld_ms={i: round(1000 * s) for i, s in update.withheld.items()},
         needs_exact_base=update.needs_exact_base,
         zones=[_encode_zone(state) for state in update.zones],
+        newest_revision=update.newest_revision,
+        fingerprint=update.fingerprint,
+        version=update.version,
     )
 
 
@@ -66,7 +69,7 @@
     """Return the update, or None if its routes are a diff to a version not known.
 
     A message of an older build may lack an epoch, and counts as one of `known_epoch`. It
-    may list a server that no flow can be opened to, which counts as removed.
+    may lack a fingerprint and a version, which are not compared then. It may list a server that no flow can be opened to, which counts as removed.
 
     Raise MalformedUpdateError if anything else is missing or out of range.
     """
@@ -94,6 +97,9 @@
     for server in message.servers or ():
         (usable if _is_usable(server) else unusable).append(server)
     removed = (message.removed or {}) | _removals_of(unusable)
+    newest_revision = message.newest_revision
+    if newest_revision is None:
+        newest_revision = message.revision
     return Update(
         base_revision=(
             None if is_full else check_integer(message.base_revision, MAXIMUM_REVISION)
@@ -107,6 +113,9 @@
         withheld={i: check_number(ms) / 1000 for i, ms in withheld_ms.items()},
         needs_exact_base=bool(message.needs_exact_base),
         zones=[_decode_zone(state) for state in message.zones or ()],
+        newest_revision=check_integer(newest_revision, MAXIMUM_REVISION),
+        fingerprint=message.fingerprint,
+        version=check_integer(message.version or 0, MAXIMUM_REVISION),
     )
 
 
--- a/hornbeamdeal/dsr/_peer_sync.py
+++ b/hornbeamdeal/dsr/_peer_sync.py
@@ -260,8 +260,34 @@
                 version=self.catalog.routes.version if self.catalog.routes else 0,
             )
             self.on_server_changes(changes)
+        self._compare(update, sender, now)
         return []
 
+    def _compare(self, update: Update, sender: Endpoint, now: float) -> None:
+        """Log if the sender's entries at this catalog's position are others."""
+        catalog = self.catalog
+        own = catalog.fingerprint(now)
+        is_same_position = (update.epoch, update.revision) == (
+            catalog.epoch,
+            catalog.revision,
+        )
+        if not is_same_position or None in (own, update.fingerprint):
+            return
+        if own == update.fingerprint and update.version <= catalog.version:
+            return
+        self.journal.count("catalog_differences")
+        self.journal.event(
+            "catalog_differs",
+            sender=sender,
+            epoch=catalog.epoch,
+            revision=catalog.revision,
+            version=catalog.version,
+            sender_version=update.version,
+            servers=len(catalog.servers_by_id),
+            fingerprint=own,
+            sender_fingerprint=update.fingerprint,
+        )
+
     def _request_catalog(self, sender: Endpoint, now: float) -> list[Any]:
         if now < self._next_request_at:
             return []
--- a/hornbeamdeal/dsr/_records.py
+++ b/hornbeamdeal/dsr/_records.py
@@ -202,17 +202,25 @@
     it lists is there, even if a copy of a later revision than the listing's lacked it.
     `zones` holds changed states of zones; in a full copy, and in the changes from one
     epoch to the next, all evacuated ones.
+
+    Pages of a full read are no snapshot: entries may be newer than `revision`, up to
+    `newest_revision`, by default the same. `fingerprint` is that of the sender's
+    entries at `revision`, None if the sender has newer ones or doesn't tell it.
+    `version` is that of the configuration that the sender has in force, 0 if not told.
     """
 
     __slots__ = (
         "base_epoch",
         "base_revision",
         "epoch",
+        "fingerprint",
         "needs_exact_base",
+        "newest_revision",
         "removed",
         "revision",
         "routes",
         "servers",
+        "version",
         "withheld",
         "zones",
     )
@@ -230,6 +238,9 @@
         withheld: dict[str, float] | None = None,
         needs_exact_base: bool = False,
         zones: list[ZoneState] = (),
+        newest_revision: int | None = None,
+        fingerprint: int | None = None,
+        version: int = 0,
     ):
         self.base_epoch = epoch if base_epoch is None else base_epoch
         self.base_revision = base_revision
@@ -241,9 +252,17 @@
         self.withheld = withheld or {}
         self.needs_exact_base = needs_exact_base
         self.zones = zones
+        self.newest_revision = revision if newest_revision is None else newest_revision
+        self.fingerprint = fingerprint
+        self.version = version
 
     @property
     def is_empty(self) -> bool:
         """Return whether the update changes nothing but the revision."""
-        has_states = self.servers or self.removed or self.zones
-        return not has_states and self.routes is None
+        return self.entry_count == 0
+
+    @property
+    def entry_count(self) -> int:
+        """Return the number of entries that are listed or removed."""
+        states = len(self.servers) + len(self.removed) + len(self.zones)
+        return states + (self.routes is not None)
--- a/hornbeamdeal/platform/_startup.py
+++ b/hornbeamdeal/platform/_startup.py
@@ -16,6 +16,7 @@
     SourceError,
     forward_pending,
     log_changed_zones,
+    log_loaded,
     log_unexpected_error,
 )
 from hornbeamdeal.kernel import Clock, Endpoint
@@ -77,6 +78,8 @@
     forwarder.catalog.apply(update, now)
     log_changed_zones(forwarder.catalog, journal, now)
     forwarder.catalog.confirm(now if may_be_stale else started)
+    seconds = round(now - started, 3)
+    log_loaded(forwarder.catalog, journal, update, seconds, may_be_stale)
     return ""
 
 
--- a/hornbeamdeal/platform/_store.py
+++ b/hornbeamdeal/platform/_store.py
@@ -86,21 +86,25 @@
         if may_be_stale:
             query["stale_ok"] = 1
         items: list[Any] = []
-        revision = MAXIMUM_REVISION
+        revision, newest_revision = MAXIMUM_REVISION, 0
         epoch: int | None = None
         while True:
             page = await self._get("kv-range", query)
             epoch = self.epoch_ if epoch is None else epoch
             if epoch != self.epoch_:
                 raise self._make_error("restored", "pages of two histories")
-            # `as_of` is the store revision that an answer shows.
+            # `as_of` is the store revision that an answer shows. Pages are no
+            # snapshot, and stale ones may come from copies of any age.
             revision = min(revision, page["as_of"])
+            newest_revision = max(newest_revision, page["as_of"])
             page_items = self._list_in(page, "items")
             items += page_items
             if not page.get("more_pages") or not page_items:
                 if CONFIG_KEY not in map(self._key_of, items):
                     raise self._make_error("missing", "no configuration in the store")
-                return self._make_update(items, None, revision)
+                update = self._make_update(items, None, revision)
+                update.newest_revision = newest_revision
+                return update
             query["after"] = self._last_key(page_items, query.get("after", ""))
 
     async def watch(self, after_revision: int, wait_seconds: float) -> Update:
--- a/hornbeamdeal/wire/_generated/peer/ttypes.py
+++ b/hornbeamdeal/wire/_generated/peer/ttypes.py
@@ -2685,6 +2685,9 @@
      - withheld_ms
      - needs_exact_base
      - zones
+     - newest_revision
+     - fingerprint
+     - version
 
     """
 
@@ -2702,10 +2705,13 @@
         'withheld_ms',
         'needs_exact_base',
         'zones',
+        'newest_revision',
+        'fingerprint',
+        'version',
     )
 
 
-    def __init__(self, base_revision=None, revision=None, age_ms=None, position=None, servers=None, removed=None, routes=None, relay_groups=None, epoch=None, base_epoch=None, withheld_ms=None, needs_exact_base=None, zones=None,):
+    def __init__(self, base_revision=None, revision=None, age_ms=None, position=None, servers=None, removed=None, routes=None, relay_groups=None, epoch=None, base_epoch=None, withheld_ms=None, needs_exact_base=None, zones=None, newest_revision=None, fingerprint=None, version=None,):
         self.base_revision = base_revision
         self.revision = revision
         self.age_ms = age_ms
@@ -2719,6 +2725,9 @@
         self.withheld_ms = withheld_ms
         self.needs_exact_base = needs_exact_base
         self.zones = zones
+        self.newest_revision = newest_revision
+        self.fingerprint = fingerprint
+        self.version = version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2819,6 +2828,21 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.I64:
+                    self.newest_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.I64:
+                    self.fingerprint = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2895,6 +2919,18 @@
                 iter145.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.newest_revision is not None:
+            oprot.writeFieldBegin('newest_revision', TType.I64, 14)
+            oprot.writeI64(self.newest_revision)
+            oprot.writeFieldEnd()
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.I64, 15)
+            oprot.writeI64(self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 16)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4085,6 +4121,9 @@
     (11, TType.MAP, 'withheld_ms', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 11
     (12, TType.BOOL, 'needs_exact_base', None, None, ),  # 12
     (13, TType.LIST, 'zones', (TType.STRUCT, [ZoneState, None], False), None, ),  # 13
+    (14, TType.I64, 'newest_revision', None, None, ),  # 14
+    (15, TType.I64, 'fingerprint', None, None, ),  # 15
+    (16, TType.I64, 'version', None, None, ),  # 16
 )
 all_structs.append(CatalogRequest)
 CatalogRequest.thrift_spec = (
--- a/hornbeamdeal/wire/peer.thrift
+++ b/hornbeamdeal/wire/peer.thrift
@@ -202,6 +202,9 @@
   11: map<string, i64> withheld_ms // how much longer listed servers get no new flows
   12: bool needs_exact_base // a later base may list servers that have left since
   13: list<ZoneState> zones
+  14: i64 newest_revision // of any entry that the sender's catalog may hold
+  15: i64 fingerprint // of the sender's entries, absent if some are newer than `revision`
+  16: i64 version // of the configuration that the sender has in force
 }
 
 // Asks for a full copy; answered over TCP. With `only_if_newer` it is answered only
