Tell peers what the reader had read ahead of its revision

Cause: pages of a full read differ in age, so a catalog can hold entries that are newer than its revision. When the reader's next watch returned these, it sent peers the range of revisions without them, as they were no news to itself.

Change: all entries of an answer that are later than the base go to peers. Catalogs know the newest revision among their entries; while it is above their own, a full read's changes claim no base that a peer could stand at, and changes that need an exact base are not applied. So peers that lack something ask for a full copy.

--- a/hornbeamdeal/dsr/_catalog.py
+++ b/hornbeamdeal/dsr/_catalog.py
@@ -176,7 +176,8 @@
         """Return whether the update's base is known here, or nothing in it is needed.
 
         Changes from one epoch to the next need exactly their base: an entry that the
-        base has and a later revision of its epoch has not could be missing in them.
+        base has and a later revision of its epoch has not could be missing in them, and
+        so could one that was read ahead of the base.
         """
         if update.base_revision is None or update.epoch < self.epoch:
             return True
@@ -185,7 +186,7 @@
         if update.base_epoch != self.epoch:
             return False
         if update.epoch != self.epoch or update.needs_exact_base:
-            return update.base_revision == self.revision
+            return self.is_exact and update.base_revision == self.revision
         return update.base_revision <= self.revision
 
     def is_at_or_after(self, update: Update) -> bool:
--- a/hornbeamdeal/dsr/_catalog_reader.py
+++ b/hornbeamdeal/dsr/_catalog_reader.py
@@ -11,7 +11,7 @@
 from ._catalog_log import log_changed_zones, log_loaded
 from ._packet_io import log_unexpected_error
 from ._read_scheduler import ReadScheduler
-from ._records import RouteTable, Server, Update
+from ._records import RouteTable, Server, Update, ZoneState
 from ._server_health import ServerHealth
 from ._server_speeds import ServerSpeeds
 from ._source import Source, SourceError
@@ -24,6 +24,22 @@
 _ENTRY_CHANGES = ("listed", "unconfirmed")
 
 
+class ReadBase:
+    """State of the catalog to which an answer of the store was applied."""
+
+    __slots__ = ("epoch", "is_exact", "revision", "routes")
+
+    def __init__(self, catalog: Catalog):
+        self.epoch = catalog.epoch
+        self.revision = catalog.revision
+        self.is_exact = catalog.is_exact
+        self.routes = catalog.routes
+
+    def precedes(self, epoch: int, revision: int) -> bool:
+        """Return whether a revision of the same epoch is later than the base."""
+        return epoch == self.epoch and revision > self.revision
+
+
 class Broadcaster(Protocol):
     """Forwards the store's answers to peers."""
 
@@ -237,60 +253,80 @@
         if update.epoch < self.catalog.epoch:
             text = f"an answer of epoch {update.epoch} came after the store's return"
             raise SourceError("restored", text)
-        base = (self.catalog.epoch, self.catalog.revision)
-        previous = self.catalog.routes
+        base = ReadBase(self.catalog)
         changes = self._apply(update)
-        # In another epoch these are all evacuated zones, as peers forget the revisions.
-        changed_zones = self.catalog.changed_zones
         self.catalog.confirm(confirmed_at)
-        new_changes = self._new_changes(update, base, previous, changes)
         now = self.clock.monotonic()
-        evacuations = self.catalog.evacuations
-        new_changes.zones = [evacuations.state_of(zone, now) for zone in changed_zones]
+        new_changes = self._new_changes(update, base, changes)
+        new_changes.zones = self._new_zones(update, base, now)
         new_changes.fingerprint = self.catalog.fingerprint(now)
         self._log_answer(update, new_changes)
         self.read_scheduler.record_answer(not new_changes.is_empty, now)
         if self.peering is not None:
+            # Peers at the base may lack a version that was read ahead of it.
+            is_read_ahead = new_changes.routes is base.routes
+            previous = None if is_read_ahead else base.routes
             self.peering.broadcast(new_changes, previous)
 
     def _new_changes(
-        self,
-        answer: Update,
-        base: tuple[int, int],
-        previous: RouteTable | None,
-        changes: list[tuple[str, Any]],
+        self, answer: Update, base: ReadBase, changes: list[tuple[str, Any]]
     ) -> Update:
         """Return only the changes, since peers need no more even after a full read.
 
-        `base` is the epoch and revision of the catalog before them. A server that was
-        not listed here may be listed by a peer, so a watch's removals are kept. Those of
-        a full read are unusable entries, which peers at the exact base don't list.
+        Those are all entries after the base: what this host had read ahead of its
+        revision is news to its peers. A server that was not listed here may be listed
+        by a peer, so a watch's removals are kept. Those of a full read are unusable
+        entries, which peers at the exact base don't list.
         """
-        catalog, routes = self.catalog, self.catalog.routes
-        base_epoch, base_revision = base
-        servers = [server for change, server in changes if change in _ENTRY_CHANGES]
+        catalog = self.catalog
+        servers_by_id = {
+            server.server_id: server
+            for change, server in changes
+            if change in _ENTRY_CHANGES
+        }
+        for server in answer.servers:
+            known = catalog.servers_by_id.get(server.server_id)
+            if known is not None and base.precedes(answer.epoch, server.revision):
+                servers_by_id[server.server_id] = known
         removed_servers = [server for change, server in changes if change == "removed"]
         withheld = catalog.provisional.withheld_remaining(catalog.confirmed_at)
-        changed_ids = {server.server_id for server in servers}
         is_full = answer.base_revision is None
+        # A full read doesn't tell what left since the base, if that was not exact: peers
+        # that are not at its own revision then need a full copy.
+        is_base_known = base.is_exact or not is_full
         return Update(
-            base_epoch=base_epoch,
-            base_revision=base_revision,
+            base_epoch=base.epoch if is_base_known else catalog.epoch,
+            base_revision=base.revision if is_base_known else catalog.revision,
             epoch=catalog.epoch,
             revision=catalog.revision,
-            servers=servers,
+            servers=list(servers_by_id.values()),
             removed=({} if is_full else answer.removed)
             | {
                 server.server_id: catalog.removals.by_id[server.server_id].revision
                 for server in removed_servers
             },
             needs_exact_base=is_full,
-            routes=routes if routes is not previous else None,
-            withheld={i: s for i, s in withheld.items() if i in changed_ids},
+            routes=self._new_routes(answer, base),
+            withheld={i: s for i, s in withheld.items() if i in servers_by_id},
             newest_revision=catalog.newest_revision,
             version=catalog.version,
         )
 
+    def _new_routes(self, answer: Update, base: ReadBase) -> RouteTable | None:
+        routes = self.catalog.routes
+        is_later = base.precedes(answer.epoch, answer.routes_revision)
+        return routes if is_later or routes is not base.routes else None
+
+    def _new_zones(self, answer: Update, base: ReadBase, now: float) -> list[ZoneState]:
+        evacuations = self.catalog.evacuations
+        # In another epoch these are all evacuated zones, as peers forget the revisions.
+        zones = dict.fromkeys(self.catalog.changed_zones)
+        for state in answer.zones:
+            is_known = state.zone in evacuations.records_by_zone
+            if is_known and base.precedes(answer.epoch, state.revision):
+                zones[state.zone] = None
+        return [evacuations.state_of(zone, now) for zone in zones]
+
     def _log_answer(self, answer: Update, new_changes: Update) -> None:
         """Log what an answer held and what of it goes to peers."""
         if answer.is_empty and new_changes.is_empty:
--- a/hornbeamdeal/dsr/_records.py
+++ b/hornbeamdeal/dsr/_records.py
@@ -196,7 +196,8 @@
     epoch, is the revision that the changes apply to, None for a full copy, where a
     server that is not listed is removed. `removed` holds the revision of each removal
     by server id. `withheld` holds for how many more seconds listed servers get no new
-    flows. `routes` is None if the configuration is unchanged. `needs_exact_base` is set
+    flows. `routes` is None if the configuration is unchanged, and
+    `routes_revision` is the store's revision of it, if known. `needs_exact_base` is set
     for a consistent full read of the store and the changes that a reader found by one: a
     server that a later base lists may have left without being in `removed`, and what
     it lists is there, even if a copy of a later revision than the listing's lacked it.
@@ -219,6 +220,7 @@
         "removed",
         "revision",
         "routes",
+        "routes_revision",
         "servers",
         "version",
         "withheld",
@@ -241,6 +243,7 @@
         newest_revision: int | None = None,
         fingerprint: int | None = None,
         version: int = 0,
+        routes_revision: int = NO_REVISION,
     ):
         self.base_epoch = epoch if base_epoch is None else base_epoch
         self.base_revision = base_revision
@@ -255,6 +258,7 @@
         self.newest_revision = revision if newest_revision is None else newest_revision
         self.fingerprint = fingerprint
         self.version = version
+        self.routes_revision = routes_revision
 
     @property
     def is_empty(self) -> bool:
--- a/hornbeamdeal/platform/_store.py
+++ b/hornbeamdeal/platform/_store.py
@@ -241,6 +241,7 @@
         except EntryError as error:
             self._report_unusable(CONFIG_KEY, revision, str(error))
             return
+        update.routes_revision = revision
         if problems:
             self._report_problems(update.routes.version, revision, problems)
 
--- a/tests/fakes/peering_network.py
+++ b/tests/fakes/peering_network.py
@@ -41,7 +41,16 @@
 class NetworkHost:
     """One host with membership, catalog and peering."""
 
-    def __init__(self, network, host_id, ip, environment, seeds, incarnation=1):
+    def __init__(
+        self,
+        network,
+        host_id,
+        ip,
+        environment,
+        seeds,
+        incarnation=1,
+        queries_at_start=True,
+    ):
         self.host_id = host_id
         self.endpoint = Endpoint(ip, PEER_PORT)
         self.journal = RecordingJournal()
@@ -60,6 +69,7 @@
                 random_state=network.random.getrandbits(32),
             ),
             on_server_changes=self.changes.extend,
+            queries_at_start=queries_at_start,
             random_state=network.random.getrandbits(32),
         )
         self.environment = EnvironmentCheck(environment)
