Reject late news of what a full read's changes passed by

What callers could see: openings sent to a server that had left, or refused for a zone that was not evacuated, at one host and until that entry changed again.

Cause: changes that a reader found by a full read lack a server or an evacuation that came and went since its base. A host that applied them still accepted a listing of an older revision, from a watch that another host had begun earlier and whose answer came late.

Change: after the changes of a full read to exactly its own position a catalog knows all entries of their revision, as after a full copy, and rejects older listings.

--- a/hornbeamdeal/dsr/_catalog.py
+++ b/hornbeamdeal/dsr/_catalog.py
@@ -213,6 +213,7 @@
         changes, superseded_ids, evacuated_zones = [], [], []
         read_revision = update.revision if update.needs_exact_base else NO_REVISION
         is_new_epoch = update.epoch > self.epoch
+        completes = self._is_completed_by(update)
         if is_new_epoch:
             superseded_ids = self._superseded_ids(update.servers)
             changes += self._start_history(update)
@@ -239,10 +240,9 @@
             self._update_routes(update.routes)
         self.revision = max(self.revision, update.revision)
         self.newest_revision = max(self.newest_revision, update.newest_revision)
-        if lists_all:
-            self.removals.copied_revision = max(
-                self.removals.copied_revision, update.revision
-            )
+        if lists_all or completes:
+            self.removals.record_complete(update.revision)
+            self.evacuations.record_complete(update.revision)
         if changes or self.changed_zones or update.routes is not None:
             self._rebuild_indexes(now)
         return changes
@@ -287,6 +287,12 @@
             version=self.version,
         )
 
+    def _is_completed_by(self, update: Update) -> bool:
+        """Return whether this catalog with the changes of a full read lacks nothing."""
+        position = (update.base_epoch, update.base_revision)
+        is_at_base = self.is_exact and position == (self.epoch, self.revision)
+        return update.needs_exact_base and is_at_base
+
     def _superseded_ids(self, entries: list[Server]) -> list[str]:
         """Return the accepting servers of a copy that are known to leave or be dead.
 
--- a/hornbeamdeal/dsr/_evacuations.py
+++ b/hornbeamdeal/dsr/_evacuations.py
@@ -36,12 +36,12 @@
         State of each zone, without those that were never evacuated.
     """
 
-    __slots__ = ("records_by_zone", "_copied_revision")
+    __slots__ = ("records_by_zone", "_complete_revision")
 
     def __init__(self):
         self.records_by_zone: dict[str, ZoneRecord] = {}
-        # Revision of the latest full copy, which told every state up to it.
-        self._copied_revision = 0
+        # Latest revision of which every state is known.
+        self._complete_revision = 0
 
     def is_evacuated(self, zone: str) -> bool:
         """Return whether servers of a zone get no new flows."""
@@ -70,7 +70,7 @@
 
         Their evacuations are unconfirmed until the new epoch lists them.
         """
-        self._copied_revision = 0
+        self._complete_revision = 0
         for record in self.records_by_zone.values():
             record.revision = NO_REVISION
             if record.is_evacuated and record.expires_at is None:
@@ -109,9 +109,12 @@
             if record.is_evacuated and is_older and zone not in listed:
                 state = ZoneState(zone, False, copied_revision)
                 changed += [zone] if self._apply_state(state, now) else []
-        self._copied_revision = max(self._copied_revision, copied_revision)
         return changed
 
+    def record_complete(self, revision: int) -> None:
+        """Record that the states of all zones at a revision are known."""
+        self._complete_revision = max(self._complete_revision, revision)
+
     def expire(self, now: float) -> list[str]:
         """End unconfirmed evacuations whose time is over; return their zones."""
         expired = [
@@ -144,7 +147,7 @@
             return self._adopt_unconfirmed(state, record, now)
         known_revision = record.revision if record else NO_REVISION
         is_evacuated = record is not None and record.is_evacuated
-        last_revision = max(known_revision, self._copied_revision)
+        last_revision = max(known_revision, self._complete_revision)
         # A full read shows a zone evacuated that a peer's copy lacked.
         is_read_later = state.is_evacuated and last_revision <= read_revision
         if state.revision <= last_revision and (is_evacuated or not is_read_later):
--- a/hornbeamdeal/dsr/_removals.py
+++ b/hornbeamdeal/dsr/_removals.py
@@ -35,13 +35,14 @@
     ----------
     by_id : dict of str to Removal
         Removals of servers that were listed here.
-    copied_revision : int
-        Revision of the latest full copy: a server not listed since has left.
+    complete_revision : int
+        Latest revision of which all entries are known, from a full copy or the changes
+        of a full read: a server not listed since has left.
     """
 
     __slots__ = (
         "by_id",
-        "copied_revision",
+        "complete_revision",
         "flow_lifetime",
         "_revisions_by_id",
     )
@@ -49,7 +50,7 @@
     def __init__(self, *, flow_lifetime: float):
         self.flow_lifetime = flow_lifetime
         self.by_id: dict[str, Removal] = {}
-        self.copied_revision = 0
+        self.complete_revision = 0
         # Revision and time of each removal, including servers never listed here.
         self._revisions_by_id: dict[str, tuple[int, float]] = {}
 
@@ -67,6 +68,10 @@
         last = self.revision_of(server_id)
         self._revisions_by_id[server_id] = (max(last, revision), now)
 
+    def record_complete(self, revision: int) -> None:
+        """Record that all entries of a revision are known."""
+        self.complete_revision = max(self.complete_revision, revision)
+
     def has_left(self, server: Server, is_listed: bool, read_revision: int) -> bool:
         """Return whether a server is known to have left since the listing.
 
@@ -78,7 +83,7 @@
             # The store doesn't list it now.
             return removed_revision > NO_REVISION
         left_revision = max(
-            removed_revision, NO_REVISION if is_listed else self.copied_revision
+            removed_revision, NO_REVISION if is_listed else self.complete_revision
         )
         return left_revision >= server.revision and left_revision > read_revision
 
@@ -97,7 +102,7 @@
 
     def start_epoch(self) -> None:
         """Forget the revisions of another history of the store."""
-        self.copied_revision = 0
+        self.complete_revision = 0
         self._revisions_by_id = {}
 
     def expire(self, now: float) -> None:
--- a/tests/fakes/snapshot_store.py
+++ b/tests/fakes/snapshot_store.py
@@ -37,6 +37,15 @@
             zones=[state for state in update.zones if state.is_evacuated],
         )
 
+    def read_pages(self, config_revision, servers_revision, zones_revision):
+        """Return a full read of three pages that show different revisions."""
+        revisions = (config_revision, servers_revision, zones_revision)
+        update = self.read(min(revisions), max(revisions))
+        update.routes = self.read(config_revision).routes
+        update.servers = self.read(servers_revision).servers
+        update.zones = self.read(zones_revision).zones
+        return update
+
     def watch(self, after_revision):
         """Return the changes after a revision."""
         update = self._changes_between(after_revision, self.revision)
--- a/tests/specs/store_epochs.py
+++ b/tests/specs/store_epochs.py
@@ -223,7 +223,7 @@
         catalog.servers_by_id[SERVER_ID] = _server(host.entry, host.entry_revision)
     if host.removed_revision:
         catalog.removals.record(SERVER_ID, host.removed_revision, 0.0)
-    catalog.removals.copied_revision = host.copied_revision
+    catalog.removals.complete_revision = host.copied_revision
     return catalog
 
 
@@ -240,7 +240,7 @@
         entry=entry,
         entry_revision=revision,
         removed_revision=catalog.removals.revision_of(SERVER_ID),
-        copied_revision=catalog.removals.copied_revision,
+        copied_revision=catalog.removals.complete_revision,
     )
 
 
--- a/tests/specs/zone_evacuations.py
+++ b/tests/specs/zone_evacuations.py
@@ -227,7 +227,7 @@
     catalog.routes = ROUTES
     catalog.epoch, catalog.revision = host.epoch, host.revision
     if not lacks["copied_revision"]:
-        catalog.evacuations._copied_revision = host.copied_revision
+        catalog.evacuations._complete_revision = host.copied_revision
     if host.zone != "unknown":
         record = ZoneRecord(host.zone != "in use", host.zone_revision, 0.0)
         if host.zone == "lost":
@@ -249,7 +249,9 @@
         revision=catalog.revision,
         zone=zone,
         zone_revision=record.revision if record else 0,
-        copied_revision=0 if lacks["copied_revision"] else evacuations._copied_revision,
+        copied_revision=0
+        if lacks["copied_revision"]
+        else evacuations._complete_revision,
     )
 
 
