Read the store once a peer holds other entries at the same revision

Cause: two hosts that differ at one revision, for whatever reason, kept their entries until those changed again. `catalog_differs` was logged and nothing followed.

Change: the host that notices makes a full read, since the store decides who is right; a newer version of the configuration it takes from the peer. A full read of the store also ends an evacuation that a copy of the same revision had told.

--- a/hornbeamdeal/dsr/_evacuations.py
+++ b/hornbeamdeal/dsr/_evacuations.py
@@ -108,7 +108,9 @@
             is_older = NO_REVISION < record.revision <= copied_revision
             if record.is_evacuated and is_older and zone not in listed:
                 state = ZoneState(zone, False, copied_revision)
-                changed += [zone] if self._apply_state(state, now) else []
+                changed += (
+                    [zone] if self._apply_state(state, now, read_revision) else []
+                )
         return changed
 
     def record_complete(self, revision: int) -> None:
@@ -148,9 +150,10 @@
         known_revision = record.revision if record else NO_REVISION
         is_evacuated = record is not None and record.is_evacuated
         last_revision = max(known_revision, self._complete_revision)
-        # A full read shows a zone evacuated that a peer's copy lacked.
-        is_read_later = state.is_evacuated and last_revision <= read_revision
-        if state.revision <= last_revision and (is_evacuated or not is_read_later):
+        # A full read shows that a peer's copy lacked an evacuation, or its end.
+        is_read_later = last_revision <= read_revision
+        is_changed = is_evacuated != state.is_evacuated
+        if state.revision <= last_revision and not (is_read_later and is_changed):
             return False
         if record is None or not (record.is_evacuated and state.is_evacuated):
             # A newer return ends an evacuation that this host has not seen.
--- a/hornbeamdeal/dsr/_peer_sync.py
+++ b/hornbeamdeal/dsr/_peer_sync.py
@@ -260,11 +260,14 @@
                 version=self.catalog.routes.version if self.catalog.routes else 0,
             )
             self.on_server_changes(changes)
-        self._compare(update, sender, now)
-        return []
+        return self._compare(update, sender, now)
 
-    def _compare(self, update: Update, sender: Endpoint, now: float) -> None:
-        """Log if the sender's entries at this catalog's position are others."""
+    def _compare(self, update: Update, sender: Endpoint, now: float) -> list[Any]:
+        """Compare the sender's entries at this catalog's position with its own.
+
+        If they differ, this host reads the store; a newer version is the sender's to
+        tell, as versions never decrease.
+        """
         catalog = self.catalog
         own = catalog.fingerprint(now)
         is_same_position = (update.epoch, update.revision) == (
@@ -272,9 +275,16 @@
             catalog.revision,
         )
         if not is_same_position or None in (own, update.fingerprint):
-            return
-        if own == update.fingerprint and update.version <= catalog.version:
-            return
+            return []
+        verification = self.read_scheduler.verification
+        is_same = own == update.fingerprint
+        is_behind = update.version > catalog.version
+        if is_same:
+            verification.record_agreement()
+        else:
+            verification.record_difference(len(self._peers) + 1, now)
+        if is_same and not is_behind:
+            return []
         self.journal.count("catalog_differences")
         self.journal.event(
             "catalog_differs",
@@ -287,6 +297,7 @@
             fingerprint=own,
             sender_fingerprint=update.fingerprint,
         )
+        return self._request_catalog(sender, now) if is_behind else []
 
     def _request_catalog(self, sender: Endpoint, now: float) -> list[Any]:
         if now < self._next_request_at:
--- a/hornbeamdeal/dsr/_read_scheduler.py
+++ b/hornbeamdeal/dsr/_read_scheduler.py
@@ -9,6 +9,8 @@
 
 import random
 
+from ._verification import CatalogVerification
+
 # A reader's watch is answered at least this often, so that a watch without answer
 # is detected and the other hosts learn that nothing has changed.
 WATCH_TIMEOUT_SECONDS = 0.7
@@ -56,6 +58,8 @@
         Whether this host is one of its zone's elected readers.
     is_reading : bool
         Whether this host currently reads for the others.
+    verification : CatalogVerification
+        Whether a full read is due as a peer holds other entries.
     """
 
     __slots__ = (
@@ -66,6 +70,7 @@
         "position",
         "random_state",
         "reload_due",
+        "verification",
         "_failures",
         "_is_reload_unused",
         "_has_yielded",
@@ -93,13 +98,15 @@
         self._is_reload_unused = False
         self._earliest_read_at = float("-inf")
         self._random = random.Random(random_state)
+        self.verification = CatalogVerification(self._random)
         self._fallback_jitter = self._random.uniform(0, FALLBACK_READ_JITTER_SECONDS)
 
     def next_read_delay(self, confirmed_at: float, now: float) -> float:
         """Return the seconds until the next read is due, 0 if it is due now."""
         due = self._earliest_read_at
         if not self.is_reading:
-            due = max(due, confirmed_at + self._maximum_age())
+            too_old_at = confirmed_at + self._maximum_age()
+            due = max(due, min(too_old_at, self.verification.due_at))
         return max(0.0, due - now)
 
     @property
@@ -112,7 +119,9 @@
 
         A watch that was lost may have advanced past changes without reporting them.
         """
-        return self.must_reload or (self.is_reading and now >= self.reload_due)
+        is_verification_due = now >= self.verification.due_at
+        is_due = self.is_reading and now >= self.reload_due
+        return self.must_reload or is_verification_due or is_due
 
     def record_read_start(self) -> None:
         """Record that a read begins."""
@@ -133,6 +142,7 @@
     def record_reload(self, now: float) -> None:
         """Record a full read."""
         self.must_reload = False
+        self.verification.record_read(now)
         self._is_reload_unused = True
         self.reload_due = now + RELOAD_INTERVAL_SECONDS
 
