Log which server a reset flow's packets identified

The reset's log line told only the server that was found dead, so that a wrong guess of the flow's server, a wrong handle and a server taken for dead by mistake looked alike.

Change: `flow_reset` tells the holder, which the handle of the flow's latest packet identified, and that packet's age; `flow_placed` tells a trial.

--- a/hornbeamdeal/dsr/_flow_table.py
+++ b/hornbeamdeal/dsr/_flow_table.py
@@ -25,7 +25,8 @@
     `retransmissions` counts retransmissions of data since the server last showed
     that it received something. `sent_at` is when data or an opening packet was last
     forwarded. `awaited_server` is the server whose answer the flow is counted as
-    awaiting. `opening_sequence` is the opening packet's sequence number, None if another
+    awaiting. `holder` is the server that the handle of the latest packet identifies, None
+    before the first with one. `opening_sequence` is the opening packet's sequence number, None if another
     host got it. `route` is None if the address had none at the flow's first packet.
     `tried_servers` are those that got the opening packet. `unacknowledged_sequence` is a
     position in the request that the server had not acknowledged when a packet from
@@ -38,6 +39,7 @@
         "awaited_server",
         "awaited_since",
         "failed_since",
+        "holder",
         "last_copy_number",
         "is_established",
         "last_packet_at",
@@ -63,6 +65,7 @@
         self.sent_at = now
         self.unacknowledged_sequence: int | None = None
         self.awaited_server: Server | None = None
+        self.holder: Server | None = None
         self.awaited_since = now
         self.failed_since: float | None = None
 
--- a/hornbeamdeal/dsr/_forwarder.py
+++ b/hornbeamdeal/dsr/_forwarder.py
@@ -228,6 +228,7 @@
             copy=packet.copy_number,
             candidates=len(candidates),
             permitted=len(permitted),
+            trial=trial_server.server_id if trial_server else "",
             version=self.catalog.routes.version,
             revision=self.catalog.revision,
             age_ms=round(1000 * self.catalog.age(now)),
@@ -331,6 +332,7 @@
         arrived_at: float,
     ) -> None:
         """Update the flow record and the server's health from a packet."""
+        flow.holder = server
         if not flow.is_established:
             self.waits.record_handshake(flow, now)
         is_new = not flow.is_established
@@ -384,8 +386,9 @@
         reason: str,
         now: float,
     ) -> None:
+        flow = self.flows.get(flow_key)
         self._discard_flow(flow_key, now)
-        self.resets.reset(flow_key, acknowledgement, server, reason, now)
+        self.resets.reset(flow_key, flow, acknowledgement, server, reason, now)
 
 
 def _is_copy(packet: CallerPacket, flow: Flow) -> bool:
--- a/hornbeamdeal/dsr/_resets.py
+++ b/hornbeamdeal/dsr/_resets.py
@@ -2,6 +2,7 @@
 
 from ._base import CallerPacket, Journal, PacketCodec, Transmit
 from ._catalog import Catalog
+from ._flow_table import Flow
 from ._records import Server
 from ._server_health import ServerHealth
 
@@ -64,18 +65,26 @@
     def reset(
         self,
         flow_key: bytes,
+        flow: Flow | None,
         acknowledgement: int,
         server: Server,
         reason: str,
         now: float,
     ) -> None:
-        """Reset an open flow whose server is dead or gone."""
+        """Reset an open flow whose server is dead or gone.
+
+        `flow` is its record, None if this host has none.
+        """
+        holder = flow.holder if flow else None
+        packet_age = now - flow.last_packet_at if flow else 0.0
         self.journal.count("flows_reset", reason)
         self.journal.event(
             "flow_reset",
             flow=self.codec.describe_flow(flow_key),
             server=server.server_id,
             reason=reason,
+            holder=holder.server_id if holder else "",
+            packet_age_ms=round(1000 * packet_age),
             alive_ms=self.progress_age_ms(server, now),
             revision=self.catalog.revision,
             age_ms=round(1000 * self.catalog.age(now)),
