--- a/hornbeamdeal/dsr/_catalog.py
+++ b/hornbeamdeal/dsr/_catalog.py
@@ -213,7 +213,7 @@
         changes, superseded_ids, evacuated_zones = [], [], []
         read_revision = update.revision if update.needs_exact_base else NO_REVISION
         is_new_epoch = update.epoch > self.epoch
-        completes = self._is_completed_by(update)
+        is_complete_after = self._is_completed_by(update)
         if is_new_epoch:
             superseded_ids = self._superseded_ids(update.servers)
             changes += self._start_history(update)
@@ -240,7 +240,7 @@
             self._update_routes(update.routes)
         self.revision = max(self.revision, update.revision)
         self.newest_revision = max(self.newest_revision, update.newest_revision)
-        if lists_all or completes:
+        if lists_all or is_complete_after:
             self.removals.record_complete(update.revision)
             self.evacuations.record_complete(update.revision)
         if changes or self.changed_zones or update.routes is not None:
@@ -288,9 +288,12 @@
         )
 
     def _is_completed_by(self, update: Update) -> bool:
-        """Return whether this catalog with the changes of a full read lacks nothing."""
-        position = (update.base_epoch, update.base_revision)
-        is_at_base = self.is_exact and position == (self.epoch, self.revision)
+        """Return whether an update holds a full read's changes to this very catalog.
+
+        All entries at the update's revision are then known.
+        """
+        base = (update.base_epoch, update.base_revision)
+        is_at_base = self.is_exact and base == (self.epoch, self.revision)
         return update.needs_exact_base and is_at_base
 
     def _superseded_ids(self, entries: list[Server]) -> list[str]:
--- a/hornbeamdeal/dsr/_flow_table.py
+++ b/hornbeamdeal/dsr/_flow_table.py
@@ -26,8 +26,8 @@
     that it received something. `sent_at` is when data or an opening packet was last
     forwarded. `awaited_server` is the server whose answer the flow is counted as
     awaiting. `holder` is the server that the handle of the latest packet identifies, None
-    before the first with one. `opening_sequence` is the opening packet's sequence number, None if another
-    host got it. `route` is None if the address had none at the flow's first packet.
+    before the first with one. `opening_sequence` is the opening packet's sequence number,
+    None if another host got it. `route` is None if the address had none at the flow's first packet.
     `tried_servers` are those that got the opening packet. `unacknowledged_sequence` is a
     position in the request that the server had not acknowledged when a packet from
     there was last forwarded. `failed_since` is when the last wait that was recorded as a
--- a/hornbeamdeal/dsr/_news_codec.py
+++ b/hornbeamdeal/dsr/_news_codec.py
@@ -69,7 +69,8 @@
     """Return the update, or None if its routes are a diff to a version not known.
 
     A message of an older build may lack an epoch, and counts as one of `known_epoch`. It
-    may lack a fingerprint and a version, which are not compared then. It may list a server that no flow can be opened to, which counts as removed.
+    may lack a fingerprint and a version, which are not compared then. It may list a
+    server that no flow can be opened to, which counts as removed.
 
     Raise MalformedUpdateError if anything else is missing or out of range.
     """
--- a/hornbeamdeal/dsr/_peer_sync.py
+++ b/hornbeamdeal/dsr/_peer_sync.py
@@ -257,7 +257,7 @@
                 epoch=update.epoch,
                 revision=update.revision,
                 age_ms=message.age_ms,
-                version=self.catalog.routes.version if self.catalog.routes else 0,
+                version=self.catalog.version,
             )
             self.on_server_changes(changes)
         return self._compare(update, sender, now)
@@ -270,10 +270,8 @@
         """
         catalog = self.catalog
         own = catalog.fingerprint(now)
-        is_same_position = (update.epoch, update.revision) == (
-            catalog.epoch,
-            catalog.revision,
-        )
+        position = (catalog.epoch, catalog.revision)
+        is_same_position = (update.epoch, update.revision) == position
         if not is_same_position or None in (own, update.fingerprint):
             return []
         verification = self.read_scheduler.verification
@@ -281,10 +279,10 @@
         is_behind = update.version > catalog.version
         if is_same:
             verification.record_agreement()
+            if not is_behind:
+                return []
         else:
             verification.record_difference(len(self._peers) + 1, now)
-        if is_same and not is_behind:
-            return []
         self.journal.count("catalog_differences")
         self.journal.event(
             "catalog_differs",
--- a/hornbeamdeal/dsr/_records.py
+++ b/hornbeamdeal/dsr/_records.py
@@ -196,12 +196,11 @@
     epoch, is the revision that the changes apply to, None for a full copy, where a
     server that is not listed is removed. `removed` holds the revision of each removal
     by server id. `withheld` holds for how many more seconds listed servers get no new
-    flows. `routes` is None if the configuration is unchanged, and
-    `routes_revision` is the store's revision of it, if known. `needs_exact_base` is set
-    for a consistent full read of the store and the changes that a reader found by one: a
-    server that a later base lists may have left without being in `removed`, and what
-    it lists is there, even if a copy of a later revision than the listing's lacked it.
-    `zones` holds changed states of zones; in a full copy, and in the changes from one
+    flows. `routes` is None if the configuration is unchanged, and `routes_revision` is
+    the store's revision of it, if known. `needs_exact_base` is set for a consistent
+    full read of the store and the changes that a reader found by one: a server that a
+    later base lists may have left without being in `removed`, and what it lists is
+    there, even if a copy of a later revision than the listing's lacked it. `zones` holds changed states of zones; in a full copy, and in the changes from one
     epoch to the next, all evacuated ones.
 
     Pages of a full read are no snapshot: entries may be newer than `revision`, up to
