Withhold fingerprints too from the soak's nodes without news of evacuations

Cause: the scenario plants a fault, hosts that tell their peers nothing of evacuations, and wants the soak to find it.

Change: those nodes send no fingerprint either, which is the state that the scenario was written for.

--- a/tests/fakes/weakened_node.py
+++ b/tests/fakes/weakened_node.py
@@ -61,12 +61,16 @@
 
 
 def without_evacuation_news():
-    """Tell peers nothing of evacuations, in updates and in full copies."""
+    """Tell peers nothing of evacuations, in updates, full copies and fingerprints.
+
+    With fingerprints, hosts notice that they differ and read the store.
+    """
     encode_news = _peer_sync.encode_news
 
     def encode_without_zones(update, **fields):
         message = encode_news(update, **fields)
         message.zones = []
+        message.fingerprint = None
         return message
 
     _peer_sync.encode_news = encode_without_zones
