--- a/tests/fakes/reading_fleet.py
+++ b/tests/fakes/reading_fleet.py
@@ -32,6 +32,20 @@
         return self.store.watch(after_revision)
 
 
+def make_reader(network, host, store):
+    """Return a host's reader of a snapshot store, which sends answers to its peers."""
+    reader = CatalogReader(
+        clock=network.clock,
+        catalog=host.catalog,
+        read_scheduler=host.peer_sync.read_scheduler,
+        server_health=host.peer_sync.health_exchange.server_health,
+        journal=host.journal,
+        source=ImmediateSource(store),
+    )
+    reader.peering = host.peering
+    return reader
+
+
 class ReadingFleet:
     """Hosts whose reads and messages overtake each other.
 
@@ -103,16 +117,7 @@
             queries_at_start=False,
         )
         self.hosts.append(host)
-        reader = CatalogReader(
-            clock=self.network.clock,
-            catalog=host.catalog,
-            read_scheduler=host.peer_sync.read_scheduler,
-            server_health=host.peer_sync.health_exchange.server_health,
-            journal=host.journal,
-            source=ImmediateSource(self.store),
-        )
-        reader.peering = host.peering
-        self.readers.append(reader)
+        self.readers.append(make_reader(self.network, host, self.store))
 
     def _write(self):
         listed = sorted(s.server_id for s in self.store.read().servers)
--- a/tests/steps/dsr_page_ages_steps.py
+++ b/tests/steps/dsr_page_ages_steps.py
@@ -4,10 +4,9 @@
 from behave import given, then, when
 from fakes.dsr_host import make_server
 from fakes.peering_network import PeeringNetwork
+from fakes.reading_fleet import make_reader
 from fakes.snapshot_store import SnapshotStore
 
-from hornbeamdeal.dsr import CatalogReader
-
 SERVERS = 10
 # Servers in the store at first; others are added by changes.
 NEW_SERVER = SERVERS + 1
@@ -16,19 +15,6 @@
 COPY_SECONDS = 0.5
 
 
-class StoreSource:
-    """Reads a store that answers at once."""
-
-    def __init__(self, store):
-        self.store = store
-
-    async def load(self, may_be_stale):
-        return self.store.read()
-
-    async def watch(self, after_revision, wait_seconds):
-        return self.store.watch(after_revision)
-
-
 def write(store, change):
     """Write a change, described in words; return how to take it back."""
     if change == "a new configuration":
@@ -116,18 +102,9 @@
 
 @when("the reader makes {read}")
 def when_reader_reads(context, read):
-    host = context.reader_host
     # Hosts asked for a catalog until now; they ask again after a pause.
     context.network.run(COPY_SECONDS)
-    reader = CatalogReader(
-        clock=context.network.clock,
-        catalog=host.catalog,
-        read_scheduler=host.peer_sync.read_scheduler,
-        server_health=host.peer_sync.health_exchange.server_health,
-        journal=host.journal,
-        source=StoreSource(context.store),
-    )
-    reader.peering = host.peering
+    reader = make_reader(context.network, context.reader_host, context.store)
     reader.read_scheduler.must_reload = read == "a full read"
     trio.run(reader._read)
     context.network.deliver()
