Review case 12: routes are lost when a version follows version 0

Cause: messages between nodes mark a whole table of routes by base version 0, so that the changes to version 0 are taken for a whole table.

--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,4 +1,4 @@
-"""Another writer puts an entry with missing fields under the id of a live server."""
+"""The first change of a configuration whose version is 0 adds one route."""
 
 import asyncio
 import sys
@@ -16,7 +16,9 @@
     run_case,
 )
 
-PER_SECOND = 40
+PER_SECOND = 30
+CONFIG_APPLY_S = 3.0
+FIRST_VERSION = 0
 
 
 async def case(world, trouble):
@@ -24,19 +26,16 @@
     address = (world.ip(3), world.store_port)
     await store.listen(*address)
     host = world.ip(200)
-    routes = [
-        route("r-map", host, 8443, "maps"),
-        route("r-photo", host, 8080, "photos"),
-    ]
-    await store.put("op/config", configuration(7, routes, ["maps", "photos"]))
+    old = [route(f"r-{port}", host, port, "maps") for port in (8443, 8080)]
+    added = route("r-new", host, 9000, "maps")
+    await store.put("op/config", configuration(FIRST_VERSION, old, ["maps"]))
     for number, zone in enumerate(world.zones):
-        for base, service in ((50, "maps"), (60, "photos")):
-            ip = world.ip(base + number)
-            server = Server(
-                world, f"i-7f3a9{base}{number}", service, ip, world.server_port, zone
-            )
-            world.servers.append(server)
-            await server.start()
+        ip = world.ip(50 + number)
+        server = Server(
+            world, f"i-7f3a91c{number}", "maps", ip, world.server_port, zone
+        )
+        world.servers.append(server)
+        await server.start()
         world.clients.append(Client(world, world.ip(100 + number), zone))
         await world.clients[-1].start()
         world.nodes.append(
@@ -50,34 +49,36 @@
         raise RuntimeError("the nodes did not become ready")
     await asyncio.sleep(5)
     traffic = asyncio.create_task(
-        world.traffic([(host, 8443)], PER_SECOND, record.now() + 8)
+        world.traffic([(host, 8443), (host, 8080)], PER_SECOND, record.now() + 20)
     )
     await asyncio.sleep(3)
-    photos = next(s for s in world.servers if s.service == "photos")
+    changed_at = record.now()
     if trouble:
-        # Without `version`, `cold_remaining_ms` and `seq`.
-        await store.put(
-            f"servers/{photos.server_id}",
-            {
-                "service": "maps",
-                "address": f"{photos.ip}:{photos.port}",
-                "zone": photos.zone,
-                "slots": 3,
-                "state": "ready",
-            },
-        )
-        record.write(f"another writer's entry, with fields missing: {photos.server_id}")
+        await store.put("op/config", configuration(5, [*old, added], ["maps"]))
+        record.write("version 5, which adds one route, is acknowledged")
+        changed_at = record.now()
     await traffic
-    answered = [o for o in world.outcomes if o["outcome"] == "200"]
-    foreign = [o for o in answered if not o["body"].startswith("maps ")]
-    runs = [r for s in world.servers if s.service == "photos" for r in s.runs]
+
+    for node in world.nodes:
+        status = await node.status()
+        state = {k: status[k] for k in ("ready", "version", "age_ms", "servers")}
+        record.write(f"{node.name}: status {state}")
+    before = [o for o in world.outcomes if o["sent"] < changed_at]
+    judged = [o for o in world.outcomes if o["sent"] > changed_at + CONFIG_APPLY_S]
+    refused = [o for o in judged if o["outcome"] == "reset" and o["reset_by"] == "system"]
     record.write(
-        f"of {len(world.outcomes)} requests to the route of maps {len(answered)} were "
-        f"answered; {len(runs)} were run by a server of photos, {len(foreign)} answered"
+        f"{served(before)} of {len(before)} requests were served before; of the "
+        f"{len(judged)} requests to routes of both versions sent later than "
+        f"{CONFIG_APPLY_S} s after it {len(refused)} were refused, "
+        f"{served(judged)} served"
     )
-    if len(answered) < len(world.outcomes) / 2:
+    if served(before) < 0.9 * len(before):
         return 2
-    return 1 if runs else 0
+    return 1 if refused else 0
+
+
+def served(outcomes):
+    return sum(o["outcome"] == "200" for o in outcomes)
 
 
 run_case(case, FOLDER)
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,4 +1,4 @@
-"""A node that was turned away by the store goes on with an old configuration."""
+"""Another writer puts an entry with missing fields under the id of a live server."""
 
 import asyncio
 import sys
@@ -16,15 +16,7 @@
     run_case,
 )
 
-# Limits of the pages: the store turns a machine away for 9 s at most.
-REJECTION_S = 9.0
-ATTEMPTS = 6
-# The remaining node reads the store from 2.3 s after the last news of the others on.
-REJECTED_AFTER_S = 2.2
-CONTACT_S = 4.0
-CONFIG_APPLY_S = 3.0
-PROBE_INTERVAL_S = 0.05
-ZONE = "z1"
+PER_SECOND = 40
 
 
 async def case(world, trouble):
@@ -32,84 +24,60 @@
     address = (world.ip(3), world.store_port)
     await store.listen(*address)
     host = world.ip(200)
-    dropped, kept = route("r-old", host, 8443, "maps"), route("r-map", host, 8080, "maps")
-    await store.put("op/config", configuration(7, [dropped, kept], ["maps"]))
-    for number in range(3):
-        ip = world.ip(50 + number)
-        server = Server(
-            world, f"i-7f3a91c{number}", "maps", ip, world.server_port, ZONE
-        )
-        world.servers.append(server)
-        await server.start()
+    routes = [
+        route("r-map", host, 8443, "maps"),
+        route("r-photo", host, 8080, "photos"),
+    ]
+    await store.put("op/config", configuration(7, routes, ["maps", "photos"]))
+    for number, zone in enumerate(world.zones):
+        for base, service in ((50, "maps"), (60, "photos")):
+            ip = world.ip(base + number)
+            server = Server(
+                world, f"i-7f3a9{base}{number}", service, ip, world.server_port, zone
+            )
+            world.servers.append(server)
+            await server.start()
+        world.clients.append(Client(world, world.ip(100 + number), zone))
+        await world.clients[-1].start()
         world.nodes.append(
-            Node(world, f"front-{ZONE}-{number}", world.ip(10 + number), ZONE)
+            Node(world, f"front-{zone}-1", world.ip(10 + number), zone)
         )
-    client = Client(world, world.ip(100), ZONE)
-    await client.start()
     for node in world.nodes:
         node.write_settings("{}:{}".format(*address), bootstrap=True)
         await node.start()
     world.router.start()
     if not await world.wait_ready():
         raise RuntimeError("the nodes did not become ready")
-    await asyncio.sleep(6)
-    positions = {}
-    for node in world.nodes:
-        positions[(await node.status())["reader_position"]] = node
-    survivor = positions[2]
-    record.write(f"the node whose turn to read is last: {survivor.name}")
-
-    if trouble:
-        # All nodes know then that their configuration is current.
-        answers = store.answers
-        while store.answers == answers:
-            await asyncio.sleep(0.005)
-        await asyncio.sleep(0.03)
-        for position in (0, 1):
-            await positions[position].kill()
-        await asyncio.sleep(REJECTED_AFTER_S)
-        store.reject(*address)
-        rejected_at, calls = record.now(), store.calls
-        record.write("the store turns the remaining machine away (503)")
-    acknowledged_at = await change(world, kept)
+    await asyncio.sleep(5)
+    traffic = asyncio.create_task(
+        world.traffic([(host, 8443)], PER_SECOND, record.now() + 8)
+    )
+    await asyncio.sleep(3)
+    photos = next(s for s in world.servers if s.service == "photos")
     if trouble:
-        while record.now() < rejected_at + REJECTION_S - 0.05:
-            if store.calls >= calls + ATTEMPTS:
-                break
-            await asyncio.sleep(0.01)
-        store.serve(*address)
-    served_at = record.now()
-    record.write("the store serves all machines")
-    in_touch_from = served_at + CONTACT_S
-    judged_from = max(in_touch_from, acknowledged_at + CONFIG_APPLY_S) + 0.05
-    await asyncio.sleep(judged_from - record.now())
-    tasks = []
-    for number in range(80):
-        tasks.append(
-            asyncio.create_task(
-                world.attempt(client, host, 8443, f"old{number:02d}", node=survivor)
-            )
+        # Without `version`, `cold_remaining_ms` and `seq`.
+        await store.put(
+            f"servers/{photos.server_id}",
+            {
+                "service": "maps",
+                "address": f"{photos.ip}:{photos.port}",
+                "zone": photos.zone,
+                "slots": 3,
+                "state": "ready",
+            },
         )
-        await asyncio.sleep(PROBE_INTERVAL_S)
-    kept_route = await world.attempt(client, host, 8080, "kept", node=survivor)
-    outcomes = await asyncio.gather(*tasks)
-    old = [o for o in outcomes if o["outcome"] == "200"]
-    status = await survivor.status()
-    record.write(f"{survivor.name}: version {status['version']} at the end")
+        record.write(f"another writer's entry, with fields missing: {photos.server_id}")
+    await traffic
+    answered = [o for o in world.outcomes if o["outcome"] == "200"]
+    foreign = [o for o in answered if not o["body"].startswith("maps ")]
+    runs = [r for s in world.servers if s.service == "photos" for r in s.runs]
     record.write(
-        f"{len(old)} of {len(outcomes)} requests to the dropped route, sent later than "
-        f"{judged_from - acknowledged_at:.2f} s after the acknowledgement of version 8 "
-        f"and than {judged_from - served_at:.2f} s after the last impairment, were run"
+        f"of {len(world.outcomes)} requests to the route of maps {len(answered)} were "
+        f"answered; {len(runs)} were run by a server of photos, {len(foreign)} answered"
     )
-    if kept_route["outcome"] != "200":
+    if len(answered) < len(world.outcomes) / 2:
         return 2
-    return 1 if old else 0
-
-
-async def change(world, kept):
-    await world.store.put("op/config", configuration(8, [kept], ["maps"]))
-    world.record.write("version 8, without the route to port 8443, is acknowledged")
-    return world.record.now()
+    return 1 if runs else 0
 
 
 run_case(case, FOLDER)
--- a/review/stand-ins-3/standins.py
+++ b/review/stand-ins-3/standins.py
@@ -236,7 +236,7 @@
 def _without_seq(raw):
     try:
         fields = json.loads(raw)
-    except ValueError:
+    except (ValueError, RecursionError):
         return raw
     if isinstance(fields, dict):
         fields.pop("seq", None)
