--- a/review/stand-ins-3/standins.py
+++ b/review/stand-ins-3/standins.py
@@ -32,6 +32,8 @@
 OPENING_TIMEOUT_S = 1.4
 PROBE_INTERVAL_S = 0.5
 HEARTBEAT_S = 1.2
+PAGE_ITEMS = 500
+PAGE_BYTES = 1_000_000
 
 
 def ip_number(ip):
@@ -210,8 +212,13 @@
         if parts.path == "/-/kv-range":
             keys = sorted(k for k in self.items if k.startswith(prefix))
             keys = [k for k in keys if k > query.get("after", "")]
-            page = [_shown(self.items[k]) for k in keys[:500]]
-            more = len(keys) > 500
+            page, size = [], 0
+            for key in keys[:PAGE_ITEMS]:
+                size += len(self.items[key]["raw"])
+                if page and size > PAGE_BYTES:
+                    break
+                page.append(_shown(self.items[key]))
+            more = len(keys) > len(page)
             return 200, {"items": page, "more_pages": more, "as_of": self.revision}
         if parts.path == "/-/kv-watch":
             after = int(query["after"])
