--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,4 +1,4 @@
-"""The first change of a configuration whose version is 0 adds one route."""
+"""A node that was turned away by the store goes on with an old configuration."""
 
 import asyncio
 import sys
@@ -16,9 +16,15 @@
     run_case,
 )
 
-PER_SECOND = 30
+# Limits of the pages: the store turns a machine away for 9 s at most.
+REJECTION_S = 9.0
+ATTEMPTS = 6
+# The remaining node reads the store from 2.3 s after the last news of the others on.
+REJECTED_AFTER_S = 2.2
+CONTACT_S = 4.0
 CONFIG_APPLY_S = 3.0
-FIRST_VERSION = 0
+PROBE_INTERVAL_S = 0.05
+ZONE = "z1"
 
 
 async def case(world, trouble):
@@ -26,59 +32,84 @@
     address = (world.ip(3), world.store_port)
     await store.listen(*address)
     host = world.ip(200)
-    old = [route(f"r-{port}", host, port, "maps") for port in (8443, 8080)]
-    added = route("r-new", host, 9000, "maps")
-    await store.put("op/config", configuration(FIRST_VERSION, old, ["maps"]))
-    for number, zone in enumerate(world.zones):
+    dropped, kept = route("r-old", host, 8443, "maps"), route("r-map", host, 8080, "maps")
+    await store.put("op/config", configuration(7, [dropped, kept], ["maps"]))
+    for number in range(3):
         ip = world.ip(50 + number)
         server = Server(
-            world, f"i-7f3a91c{number}", "maps", ip, world.server_port, zone
+            world, f"i-7f3a91c{number}", "maps", ip, world.server_port, ZONE
         )
         world.servers.append(server)
         await server.start()
-        world.clients.append(Client(world, world.ip(100 + number), zone))
-        await world.clients[-1].start()
         world.nodes.append(
-            Node(world, f"front-{zone}-1", world.ip(10 + number), zone)
+            Node(world, f"front-{ZONE}-{number}", world.ip(10 + number), ZONE)
         )
+    client = Client(world, world.ip(100), ZONE)
+    await client.start()
     for node in world.nodes:
         node.write_settings("{}:{}".format(*address), bootstrap=True)
         await node.start()
     world.router.start()
     if not await world.wait_ready():
         raise RuntimeError("the nodes did not become ready")
-    await asyncio.sleep(5)
-    traffic = asyncio.create_task(
-        world.traffic([(host, 8443), (host, 8080)], PER_SECOND, record.now() + 20)
-    )
-    await asyncio.sleep(3)
-    changed_at = record.now()
-    if trouble:
-        await store.put("op/config", configuration(5, [*old, added], ["maps"]))
-        record.write("version 5, which adds one route, is acknowledged")
-        changed_at = record.now()
-    await traffic
-
+    await asyncio.sleep(6)
+    positions = {}
     for node in world.nodes:
-        status = await node.status()
-        state = {k: status[k] for k in ("ready", "version", "age_ms", "servers")}
-        record.write(f"{node.name}: status {state}")
-    before = [o for o in world.outcomes if o["sent"] < changed_at]
-    judged = [o for o in world.outcomes if o["sent"] > changed_at + CONFIG_APPLY_S]
-    refused = [o for o in judged if o["outcome"] == "reset" and o["reset_by"] == "system"]
+        positions[(await node.status())["reader_position"]] = node
+    survivor = positions[2]
+    record.write(f"the node whose turn to read is last: {survivor.name}")
+
+    if trouble:
+        # All nodes know then that their configuration is current.
+        answers = store.answers
+        while store.answers == answers:
+            await asyncio.sleep(0.005)
+        await asyncio.sleep(0.03)
+        for position in (0, 1):
+            await positions[position].kill()
+        await asyncio.sleep(REJECTED_AFTER_S)
+        store.reject(*address)
+        rejected_at, calls = record.now(), store.calls
+        record.write("the store turns the remaining machine away (503)")
+    acknowledged_at = await change(world, kept)
+    if trouble:
+        while record.now() < rejected_at + REJECTION_S - 0.05:
+            if store.calls >= calls + ATTEMPTS:
+                break
+            await asyncio.sleep(0.01)
+        store.serve(*address)
+    served_at = record.now()
+    record.write("the store serves all machines")
+    in_touch_from = served_at + CONTACT_S
+    judged_from = max(in_touch_from, acknowledged_at + CONFIG_APPLY_S) + 0.05
+    await asyncio.sleep(judged_from - record.now())
+    tasks = []
+    for number in range(80):
+        tasks.append(
+            asyncio.create_task(
+                world.attempt(client, host, 8443, f"old{number:02d}", node=survivor)
+            )
+        )
+        await asyncio.sleep(PROBE_INTERVAL_S)
+    kept_route = await world.attempt(client, host, 8080, "kept", node=survivor)
+    outcomes = await asyncio.gather(*tasks)
+    old = [o for o in outcomes if o["outcome"] == "200"]
+    status = await survivor.status()
+    record.write(f"{survivor.name}: version {status['version']} at the end")
     record.write(
-        f"{served(before)} of {len(before)} requests were served before; of the "
-        f"{len(judged)} requests to routes of both versions sent later than "
-        f"{CONFIG_APPLY_S} s after it {len(refused)} were refused, "
-        f"{served(judged)} served"
+        f"{len(old)} of {len(outcomes)} requests to the dropped route, sent later than "
+        f"{judged_from - acknowledged_at:.2f} s after the acknowledgement of version 8 "
+        f"and than {judged_from - served_at:.2f} s after the last impairment, were run"
     )
-    if served(before) < 0.9 * len(before):
+    if kept_route["outcome"] != "200":
         return 2
-    return 1 if refused else 0
+    return 1 if old else 0
 
 
-def served(outcomes):
-    return sum(o["outcome"] == "200" for o in outcomes)
+async def change(world, kept):
+    await world.store.put("op/config", configuration(8, [kept], ["maps"]))
+    world.record.write("version 8, without the route to port 8443, is acknowledged")
+    return world.record.now()
 
 
 run_case(case, FOLDER)
