--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,6 +1,7 @@
-"""A node that was turned away by the store goes on with an old configuration."""
+"""Another writer's unreadable entries make each full read exceed the memory limit."""
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
@@ -16,15 +17,14 @@
     run_case,
 )
 
-# Limits of the pages: the store turns a machine away for 9 s at most.
-REJECTION_S = 9.0
-ATTEMPTS = 6
-# The remaining node reads the store from 2.3 s after the last news of the others on.
-REJECTED_AFTER_S = 2.2
-CONTACT_S = 4.0
-CONFIG_APPLY_S = 3.0
-PROBE_INTERVAL_S = 0.05
-ZONE = "z1"
+PER_SECOND = 20
+MEMORY_MB = 300
+VALUE_BYTES = 1_048_576
+ENTRIES = 130
+RESTART_S = 0.5
+CHECK_S = 0.01
+ENDS_OF_A_FAULT = 3
+OBSERVED_S = 45
 
 
 async def case(world, trouble):
@@ -32,84 +32,79 @@
     address = (world.ip(3), world.store_port)
     await store.listen(*address)
     host = world.ip(200)
-    dropped, kept = route("r-old", host, 8443, "maps"), route("r-map", host, 8080, "maps")
-    await store.put("op/config", configuration(7, [dropped, kept], ["maps"]))
-    for number in range(3):
+    routes = [route("r-map", host, 8443, "maps")]
+    await store.put("op/config", configuration(7, routes, ["maps"]))
+    for number, zone in enumerate(world.zones):
         ip = world.ip(50 + number)
         server = Server(
-            world, f"i-7f3a91c{number}", "maps", ip, world.server_port, ZONE
+            world, f"i-7f3a91c{number}", "maps", ip, world.server_port, zone
         )
         world.servers.append(server)
         await server.start()
+        world.clients.append(Client(world, world.ip(100 + number), zone))
+        await world.clients[-1].start()
         world.nodes.append(
-            Node(world, f"front-{ZONE}-{number}", world.ip(10 + number), ZONE)
+            Node(world, f"front-{zone}-1", world.ip(10 + number), zone)
         )
-    client = Client(world, world.ip(100), ZONE)
-    await client.start()
     for node in world.nodes:
         node.write_settings("{}:{}".format(*address), bootstrap=True)
         await node.start()
     world.router.start()
     if not await world.wait_ready():
         raise RuntimeError("the nodes did not become ready")
-    await asyncio.sleep(6)
-    positions = {}
-    for node in world.nodes:
-        positions[(await node.status())["reader_position"]] = node
-    survivor = positions[2]
-    record.write(f"the node whose turn to read is last: {survivor.name}")
-
-    if trouble:
-        # All nodes know then that their configuration is current.
-        answers = store.answers
-        while store.answers == answers:
-            await asyncio.sleep(0.005)
-        await asyncio.sleep(0.03)
-        for position in (0, 1):
-            await positions[position].kill()
-        await asyncio.sleep(REJECTED_AFTER_S)
-        store.reject(*address)
-        rejected_at, calls = record.now(), store.calls
-        record.write("the store turns the remaining machine away (503)")
-    acknowledged_at = await change(world, kept)
+    ends = {node.name: 0 for node in world.nodes}
+    peaks = {node.name: 0 for node in world.nodes}
+    platforms = [
+        asyncio.create_task(limit_memory(world, node, ends, peaks, address))
+        for node in world.nodes
+    ]
+    await asyncio.sleep(3)
+    traffic = asyncio.create_task(
+        world.traffic([(host, 8443)], PER_SECOND, record.now() + OBSERVED_S + 8)
+    )
+    await asyncio.sleep(5)
+    written_at = record.now()
     if trouble:
-        while record.now() < rejected_at + REJECTION_S - 0.05:
-            if store.calls >= calls + ATTEMPTS:
-                break
-            await asyncio.sleep(0.01)
-        store.serve(*address)
-    served_at = record.now()
-    record.write("the store serves all machines")
-    in_touch_from = served_at + CONTACT_S
-    judged_from = max(in_touch_from, acknowledged_at + CONFIG_APPLY_S) + 0.05
-    await asyncio.sleep(judged_from - record.now())
-    tasks = []
-    for number in range(80):
-        tasks.append(
-            asyncio.create_task(
-                world.attempt(client, host, 8443, f"old{number:02d}", node=survivor)
-            )
-        )
-        await asyncio.sleep(PROBE_INTERVAL_S)
-    kept_route = await world.attempt(client, host, 8080, "kept", node=survivor)
-    outcomes = await asyncio.gather(*tasks)
-    old = [o for o in outcomes if o["outcome"] == "200"]
-    status = await survivor.status()
-    record.write(f"{survivor.name}: version {status['version']} at the end")
+        for number in range(ENTRIES):
+            value = b"\xff" + os.urandom(VALUE_BYTES - 1)
+            await store.put(f"servers/x-{number:08x}", value)
+            await asyncio.sleep(0.02)
+        record.write(f"another writer has written {ENTRIES} entries of {VALUE_BYTES} bytes")
+    await traffic
+    for task in platforms:
+        task.cancel()
+
+    before = [o for o in world.outcomes if o["sent"] < written_at]
+    after = [o for o in world.outcomes if o["sent"] > written_at + 15]
+    ended = [name for name, count in ends.items() if count >= ENDS_OF_A_FAULT]
+    record.write(f"ends by the memory limit: {ends}; greatest MB seen: {peaks}")
     record.write(
-        f"{len(old)} of {len(outcomes)} requests to the dropped route, sent later than "
-        f"{judged_from - acknowledged_at:.2f} s after the acknowledgement of version 8 "
-        f"and than {judged_from - served_at:.2f} s after the last impairment, were run"
+        f"{served(before)} of {len(before)} requests were served before, "
+        f"{served(after)} of {len(after)} from 15 s after it on; processes that ended "
+        f"{ENDS_OF_A_FAULT} times or more: {len(ended)} of {len(ends)}"
     )
-    if kept_route["outcome"] != "200":
+    if served(before) < 0.9 * len(before):
         return 2
-    return 1 if old else 0
+    return 1 if len(ended) >= 2 else 0
+
+
+async def limit_memory(world, node, ends, peaks, address):
+    """Kill a process that exceeds the limit and start it again, as the platform does."""
+    while True:
+        await asyncio.sleep(CHECK_S)
+        memory_mb = node.memory_mb()
+        peaks[node.name] = max(peaks[node.name], round(memory_mb))
+        if memory_mb > MEMORY_MB:
+            ends[node.name] += 1
+            world.record.write(f"{node.name} has {memory_mb:.0f} MB")
+            await node.kill()
+            await asyncio.sleep(RESTART_S)
+            node.write_settings("{}:{}".format(*address))
+            await node.start()
 
 
-async def change(world, kept):
-    await world.store.put("op/config", configuration(8, [kept], ["maps"]))
-    world.record.write("version 8, without the route to port 8443, is acknowledged")
-    return world.record.now()
+def served(outcomes):
+    return sum(o["outcome"] == "200" for o in outcomes)
 
 
 run_case(case, FOLDER)
--- a/review/stand-ins-3/standins.py
+++ b/review/stand-ins-3/standins.py
@@ -253,8 +253,10 @@
 def _shown(item):
     if item.get("deleted"):
         return dict(item)
-    shown = {k: v for k, v in item.items() if k != "raw"}
-    shown["value"] = base64.b64encode(item["raw"]).decode()
+    shown = {k: v for k, v in item.items() if k not in ("raw", "text")}
+    if item.get("text") is None or item["text"][0] is not item["raw"]:
+        item["text"] = (item["raw"], base64.b64encode(item["raw"]).decode())
+    shown["value"] = item["text"][1]
     shown["lease"] = 0
     return shown
 
@@ -691,6 +693,14 @@
     def signal(self, number):
         self.process.send_signal(number)
 
+    def memory_mb(self):
+        """Return the resident memory of the process, 0 if it has ended."""
+        try:
+            text = Path(f"/proc/{self.process.pid}/status").read_text()
+            return int(text.split("VmRSS:")[1].split()[0]) / 1024
+        except (OSError, IndexError):
+            return 0
+
     async def status(self):
         """Return the operators' status page, None if there is none."""
         try:
