--- a/review/12/case.py
+++ b/review/12/case.py
@@ -43,9 +43,7 @@
         await server.start()
         world.clients.append(Client(world, world.ip(100 + number), zone))
         await world.clients[-1].start()
-        world.nodes.append(
-            Node(world, f"front-{zone}-1", world.ip(10 + number), zone)
-        )
+        world.nodes.append(Node(world, f"front-{zone}-1", world.ip(10 + number), zone))
     for node in world.nodes:
         node.write_settings("{}:{}".format(*address), bootstrap=True)
         await node.start()
@@ -69,7 +67,9 @@
             value = b"\xff" + os.urandom(VALUE_BYTES - 1)
             await store.put(f"servers/x-{number:08x}", value)
             await asyncio.sleep(0.02)
-        record.write(f"another writer has written {ENTRIES} entries of {VALUE_BYTES} bytes")
+        record.write(
+            f"another writer has written {ENTRIES} entries of {VALUE_BYTES} bytes"
+        )
     await traffic
     for task in platforms:
         task.cancel()
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -32,7 +32,10 @@
     address = (world.ip(3), world.store_port)
     await store.listen(*address)
     host = world.ip(200)
-    dropped, kept = route("r-old", host, 8443, "maps"), route("r-map", host, 8080, "maps")
+    dropped, kept = (
+        route("r-old", host, 8443, "maps"),
+        route("r-map", host, 8080, "maps"),
+    )
     await store.put("op/config", configuration(7, [dropped, kept], ["maps"]))
     for number in range(3):
         ip = world.ip(50 + number)
--- a/review/stand-ins-3/standins.py
+++ b/review/stand-ins-3/standins.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import base64
+import contextlib
 import json
 import os
 import random
@@ -106,15 +107,16 @@
     """Writes what was sent, answered and run to record.txt."""
 
     def __init__(self, path):
-        self.file = open(path, "w", encoding="utf-8")
+        self.path = Path(path)
+        self.path.write_text("", encoding="utf-8")
         self.started = time.monotonic()
 
     def now(self):
         return time.monotonic() - self.started
 
     def write(self, text):
-        self.file.write(f"{self.now():9.3f} s  {text}\n")
-        self.file.flush()
+        with self.path.open("a", encoding="utf-8") as file:
+            file.write(f"{self.now():9.3f} s  {text}\n")
 
 
 class Store:
@@ -233,10 +235,8 @@
                 if events or left <= 0:
                     return 200, {"events": events, "as_of": self.revision}
                 async with self.changed:
-                    try:
+                    with contextlib.suppress(TimeoutError):
                         await asyncio.wait_for(self.changed.wait(), left)
-                    except asyncio.TimeoutError:
-                        pass
         return 404, {}
 
 
@@ -392,7 +392,11 @@
             self.flows.pop(key, None)
             self.ended.add(key)
             self._send(
-                key, FIN | ACK, flow["next"], (flow["expected"] + 1) % MODULUS, packet.echo
+                key,
+                FIN | ACK,
+                flow["next"],
+                (flow["expected"] + 1) % MODULUS,
+                packet.echo,
             )
             return
         if packet.data:
@@ -454,7 +458,9 @@
         src, sport, dst, dport = key
         packet = Packet(dst, dport, src, sport, flags, seq, ack, data, echo)
         if self.transport is not None:
-            self.transport.sendto(packet.encode(), (ip_text(src), self.world.packet_port))
+            self.transport.sendto(
+                packet.encode(), (ip_text(src), self.world.packet_port)
+            )
 
 
 class Router:
@@ -474,10 +480,8 @@
         while True:
             started = time.monotonic()
             is_ready = False
-            try:
+            with contextlib.suppress(TimeoutError, OSError, ValueError, IndexError):
                 is_ready = await asyncio.wait_for(self._ask(node), PROBE_INTERVAL_S)
-            except (OSError, asyncio.TimeoutError, ValueError, IndexError):
-                pass
             self.misses[node.name] = 0 if is_ready else self.misses[node.name] + 1
             await asyncio.sleep(max(0, PROBE_INTERVAL_S - time.monotonic() + started))
 
@@ -515,9 +519,7 @@
         self.transport = None
 
     async def start(self):
-        self.transport = await open_udp(
-            self.ip, self.world.packet_port, self._receive
-        )
+        self.transport = await open_udp(self.ip, self.world.packet_port, self._receive)
 
     def _receive(self, data, addr):
         packet = Packet.decode(data)
@@ -604,7 +606,9 @@
         tries, is_acknowledged, received = 0, False, b""
         due = time.monotonic() + RETRANSMISSIONS_S[0]
         while time.monotonic() < deadline:
-            packet = await self._next(deadline if is_acknowledged else min(due, deadline))
+            packet = await self._next(
+                deadline if is_acknowledged else min(due, deadline)
+            )
             if packet is None:
                 if not is_acknowledged and time.monotonic() >= due:
                     self.send(ACK, start, text)
@@ -643,7 +647,7 @@
         try:
             left = max(0.0, until - time.monotonic())
             return await asyncio.wait_for(self.queue.get(), left)
-        except asyncio.TimeoutError:
+        except TimeoutError:
             return None
 
 
@@ -671,18 +675,17 @@
         variables = {k: os.environ[k] for k in keep if k in os.environ}
         variables["HORNBEAMDEAL_NODE_FILE"] = str(self.path)
         variables["PYTHONPATH"] = "target/deps"
-        log = open(self.log_path, "ab")
-        self.process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-S",
-            "target/app/__main__.py",
-            f"{self.ip}:{self.world.packet_port}",
-            cwd=ROOT,
-            env=variables,
-            stdout=log,
-            stderr=log,
-        )
-        log.close()
+        with self.log_path.open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-S",
+                "target/app/__main__.py",
+                f"{self.ip}:{self.world.packet_port}",
+                cwd=ROOT,
+                env=variables,
+                stdout=log,
+                stderr=log,
+            )
         self.world.record.write(f"{self.name} starts, store {self.store}")
 
     async def kill(self):
@@ -711,7 +714,7 @@
             text = await asyncio.wait_for(reader.read(), 1.0)
             writer.close()
             return json.loads(text.partition(b"\r\n\r\n")[2])
-        except (OSError, ValueError, asyncio.TimeoutError):
+        except (TimeoutError, OSError, ValueError):
             return None
 
 
@@ -766,7 +769,7 @@
             "ip": node.ip,
             "zone": node.zone,
             "region": "r1",
-            "zones": {zone: "r1" for zone in self.zones},
+            "zones": dict.fromkeys(self.zones, "r1"),
             "listen": {
                 "datagram_addr": f"{node.ip}:{self.packet_port}",
                 "ready": f"{node.ip}:{self.ready_port}",
@@ -852,9 +855,7 @@
             host, port = addresses[number % len(addresses)]
             number += 1
             tasks.append(
-                asyncio.create_task(
-                    self.attempt(client, host, port, f"q{number:05d}")
-                )
+                asyncio.create_task(self.attempt(client, host, port, f"q{number:05d}"))
             )
             await asyncio.sleep(1 / per_second)
         await asyncio.gather(*tasks)
