End the review's processes also when a script is terminated

Cause: a script that got SIGTERM left its nodes running. Change: the stand-ins cancel the case and end the nodes on SIGTERM and SIGINT.

--- a/review/stand-ins-3/standins.py
+++ b/review/stand-ins-3/standins.py
@@ -936,6 +936,9 @@
     world = World(Path(folder) / "record.txt")
 
     async def main():
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
         try:
             return await asyncio.wait_for(case(world, trouble), 115)
         finally:
@@ -943,7 +946,7 @@
 
     try:
         code = asyncio.run(main())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         world.record.write(f"the case could not run: {error!r}")
         code = 2
     world.record.write(f"exit code {code}")
