--- a/review/stand-ins-3/standins.py
+++ b/review/stand-ins-3/standins.py
@@ -671,6 +671,15 @@
         partial.rename(self.path)
 
     async def start(self):
+        """Start the process, also if the caller is cancelled meanwhile."""
+        task = asyncio.create_task(self._spawn())
+        self.world.starts.add(task)
+        task.add_done_callback(self.world.starts.discard)
+        await asyncio.shield(task)
+
+    async def _spawn(self):
+        if self.world.is_closing:
+            return
         keep = ("PATH", "HOME", "LANG")
         variables = {k: os.environ[k] for k in keep if k in os.environ}
         variables["HORNBEAMDEAL_NODE_FILE"] = str(self.path)
@@ -740,6 +749,9 @@
         self.clients = []
         self.router = Router(self)
         self.outcomes = []
+        # Starts of processes that are under way; none begins once the world is closing.
+        self.starts = set()
+        self.is_closing = False
 
     def ip(self, last):
         return f"{self.prefix}.{last}"
@@ -861,6 +873,8 @@
         await asyncio.gather(*tasks)
 
     async def close(self, keep_logs_in=None):
+        self.is_closing = True
+        await asyncio.gather(*self.starts, return_exceptions=True)
         for node in self.nodes:
             if node.process is not None and node.process.returncode is None:
                 node.process.send_signal(signal.SIGCONT)
