Tell a node's memory and what the store has answered

Change: /metrics has the process metrics of prometheus_client, and `store_bytes` counts the bytes of the store's answers by call.

--- a/hornbeamdeal/observability/_exposition.py
+++ b/hornbeamdeal/observability/_exposition.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterator, Mapping
 
-from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client import CollectorRegistry, ProcessCollector, generate_latest
 from prometheus_client.core import (
     CounterMetricFamily,
     GaugeMetricFamily,
@@ -50,6 +50,8 @@
         help_text = name.replace("_", " ")
         families.append(GaugeMetricFamily(NAME_PREFIX + name, help_text, value=value))
     registry = CollectorRegistry()
+    # Adds process_resident_memory_bytes and other metrics of the process.
+    ProcessCollector(registry=registry)
     registry.register(_FamilyCollector(families))
     return generate_latest(registry)
 
--- a/hornbeamdeal/platform/_store.py
+++ b/hornbeamdeal/platform/_store.py
@@ -158,6 +158,7 @@
             response = await self.client.get(target, timeout)
         except HttpError as error:
             raise self._make_error("lost", str(error)) from error
+        self.journal.count("store_bytes", name, amount=len(response.body))
         self._record_epoch(response, target)
         if response.status != 200:
             reason = _REASON_BY_STATUS.get(response.status, "refused")
--- a/tests/observability/logs.feature
+++ b/tests/observability/logs.feature
@@ -20,3 +20,8 @@
     Then at most 25 lines of that event are allowed
     And a line of another event is allowed
     And the limiter reports the suppressed lines with the next line
+
+  Scenario: the metrics of a node tell its memory
+    Guards against a node that exceeds its memory and leaves nothing to see it by.
+    When the metrics of a node are rendered
+    Then they contain the resident memory of the process
--- a/tests/steps/observability_steps.py
+++ b/tests/steps/observability_steps.py
@@ -4,8 +4,13 @@
 
 from behave import then, when
 
-from hornbeamdeal.kernel import IncrementCounter
-from hornbeamdeal.observability import KeyValueFormatter, LogLimiter, Metrics
+from hornbeamdeal.kernel import IncrementCounter, ManualClock
+from hornbeamdeal.observability import (
+    BufferedJournal,
+    KeyValueFormatter,
+    LogLimiter,
+    Metrics,
+)
 
 
 @when('the log event "{event}" has a detail with quotes and a line break')
@@ -86,3 +91,16 @@
         context.limiter.pop_suppressed_count("malformed")
         == 1000 - context.allowed_count
     )
+
+
+@when("the metrics of a node are rendered")
+def when_node_metrics_rendered(context):
+    journal = BufferedJournal(host_id="a", clock=ManualClock(0.0))
+    context.text = journal.render({}).decode()
+
+
+@then("they contain the resident memory of the process")
+def then_resident_memory(context):
+    lines = context.text.splitlines()
+    [line] = [t for t in lines if t.startswith("process_resident_memory_bytes ")]
+    assert float(line.split()[1]) > 1_000_000, line
