Read the metrics of a node's memory in their test

Change: the text has a name of its own.

Measured: tests/observability/logs.feature passes, 5 scenarios.

--- a/tests/steps/observability_steps.py
+++ b/tests/steps/observability_steps.py
@@ -96,11 +96,11 @@
 @when("the metrics of a node are rendered")
 def when_node_metrics_rendered(context):
     journal = BufferedJournal(host_id="a", clock=ManualClock(0.0))
-    context.text = journal.render({}).decode()
+    context.node_metrics = journal.render({}).decode()
 
 
 @then("they contain the resident memory of the process")
 def then_resident_memory(context):
-    lines = context.text.splitlines()
+    lines = context.node_metrics.splitlines()
     [line] = [t for t in lines if t.startswith("process_resident_memory_bytes ")]
     assert float(line.split()[1]) > 1_000_000, line
