Free the body of an HTTP message with its last use

Cause: the reader of a response and its parser referred to each other, so that each body stayed until the garbage collector ran, which counts objects and not bytes.

Change: the exchange holds the parser, the reader does not. The same for requests to a node's pages.

--- a/hornbeamdeal/wire/_http.py
+++ b/hornbeamdeal/wire/_http.py
@@ -117,12 +117,14 @@
 
 
 class _RequestReader:
-    """Collects one request; its methods are callbacks of the parser."""
+    """Collects one request; its methods are callbacks of the parser.
 
-    __slots__ = ("is_complete", "parser", "url")
+    As in the reader of a response, there is no reference to the parser.
+    """
+
+    __slots__ = ("is_complete", "url")
 
     def __init__(self):
-        self.parser = httptools.HttpRequestParser(self)
         self.url = b""
         self.is_complete = False
 
@@ -166,6 +168,7 @@
 async def _read_request(stream: trio.SocketStream) -> HttpRequest | None:
     """Return the request, None if it is missing, too large or not HTTP."""
     reader = _RequestReader()
+    parser = httptools.HttpRequestParser(reader)
     received = 0
     while not reader.is_complete:
         data = await stream.receive_some(RECEIVE_BYTES)
@@ -173,7 +176,7 @@
         if not data or received > MAXIMUM_REQUEST_BYTES:
             return None
         try:
-            reader.parser.feed_data(data)
+            parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             # The request offers another protocol after it, which a server may ignore
             # (RFC 9110, 7.8).
@@ -187,7 +190,7 @@
         logging.getLogger("hornbeamdeal").info("no_http_request: %r", error)
         return None
     return HttpRequest(
-        reader.parser.get_method().decode(),
+        parser.get_method().decode(),
         parts.path,
         dict(parse_qsl(parts.query)),
         stream.socket.getpeername()[0],
--- a/hornbeamdeal/wire/_http_exchange.py
+++ b/hornbeamdeal/wire/_http_exchange.py
@@ -40,12 +40,15 @@
 
 
 class _ResponseReader:
-    """Collects one response; its methods are callbacks of the parser."""
+    """Collects one response; its methods are callbacks of the parser.
 
-    __slots__ = ("body", "headers", "is_complete", "parser")
+    It doesn't refer to the parser, which refers to it: a cycle would keep the body until
+    the next run of the garbage collector, which counts objects and not their size.
+    """
+
+    __slots__ = ("body", "headers", "is_complete")
 
     def __init__(self):
-        self.parser = httptools.HttpResponseParser(self)
         self.headers: dict[str, str] = {}
         self.body = bytearray()
         self.is_complete = False
@@ -74,6 +77,7 @@
     head = f"GET {target} HTTP/1.1\r\nHost: {endpoint}\r\nConnection: {option}\r\n\r\n"
     await stream.send_all(head.encode("ascii"))
     reader = _ResponseReader()
+    parser = httptools.HttpResponseParser(reader)
     while not reader.is_complete:
         data = await stream.receive_some(RECEIVE_BYTES)
         if not data:
@@ -81,7 +85,7 @@
                 f"{endpoint} closed the connection before the response was complete"
             )
         try:
-            reader.parser.feed_data(data)
+            parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             raise HttpError(
                 f"{endpoint} sent an invalid HTTP response: {error!r}"
@@ -90,6 +94,6 @@
             raise HttpError(
                 f"{target} of {endpoint} is larger than {MAXIMUM_BODY_BYTES} bytes"
             )
-    status = reader.parser.get_status_code()
+    status = parser.get_status_code()
     response = HttpResponse(status, bytes(reader.body), reader.headers)
-    return response, reader.parser.should_keep_alive()
+    return response, parser.should_keep_alive()
