Decode each page of a full read before the next one is read

Cause: a full read kept the values of all pages until the last one had come, so that others' entries decided how much memory it takes. What is remembered of unusable entries, to log each once, had no bound either.

Change: UpdateBuilder takes the items page by page and keeps their entries only.

--- a/hornbeamdeal/platform/_store.py
+++ b/hornbeamdeal/platform/_store.py
@@ -1,32 +1,24 @@
 """Client of the platform's store; decodes reads and watches into updates."""
 
 import json
-from base64 import b64decode
 from typing import Any, Protocol
 from urllib.parse import urlencode
 
-from hornbeamdeal.dsr import Journal, Server, SourceError, Update, ZoneState
+from hornbeamdeal.dsr import Journal, SourceError, Update
 from hornbeamdeal.kernel import Endpoint
 from hornbeamdeal.wire import HttpError, HttpResponse
 
-from ._configuration import decode_configuration
-from ._entries import (
-    CONFIG_KEY,
-    EVACUATION_PREFIX,
-    SERVER_PREFIX,
-    EntryError,
-    check_key,
-    decode_evacuated_zone,
-    decode_server,
+from ._entries import EntryError, check_key
+from ._update_builder import (
+    MAXIMUM_REVISION,
+    UnusableEntries,
+    UpdateBuilder,
+    check_revision,
 )
 
 # The store responds within milliseconds. A host that gives up after this time can
 # retry before the time limit for applying changes ends.
 RESPONSE_TIMEOUT_SECONDS = 0.7
-# Messages between hosts carry revisions and epochs in 64 bits.
-MAXIMUM_REVISION = 2**63 - 1
-# Problems of a configuration that its log line names at most.
-MAXIMUM_LOGGED_PROBLEMS = 5
 # Extra time for the response to a watch after its wait time.
 WATCH_MARGIN_SECONDS = 0.5
 # `Store-Era` rises by one each time that the store is restored from an older copy.
@@ -60,16 +52,17 @@
     ----------
     epoch_ : int or None
         Epoch of the last response that has one, None before the first.
+    unusable : UnusableEntries
+        Entries of the store that can't be used.
     """
 
-    __slots__ = ("client", "epoch_", "journal", "_reported_revisions")
+    __slots__ = ("client", "epoch_", "journal", "unusable")
 
     def __init__(self, *, client: HttpGetter, journal: Journal):
         self.client = client
         self.journal = journal
         self.epoch_: int | None = None
-        # Epoch and revision of each key's last unusable entry.
-        self._reported_revisions: dict[str, tuple[int | None, int]] = {}
+        self.unusable = UnusableEntries(journal=journal)
 
     def move_to(self, endpoint: Endpoint) -> None:
         """Read the store at another address from now on; a read in progress fails."""
@@ -85,27 +78,38 @@
         query: dict[str, Any] = {"prefix": ""}
         if may_be_stale:
             query["stale_ok"] = 1
-        items: list[Any] = []
-        revision, newest_revision = MAXIMUM_REVISION, 0
-        epoch: int | None = None
+        builder: UpdateBuilder | None = None
         while True:
-            page = await self._get("kv-range", query)
-            epoch = self.epoch_ if epoch is None else epoch
-            if epoch != self.epoch_:
-                raise self._make_error("restored", "pages of two histories")
-            # `as_of` is the store revision that an answer shows. Pages are no
-            # snapshot, and stale ones may come from copies of any age.
-            revision = min(revision, page["as_of"])
-            newest_revision = max(newest_revision, page["as_of"])
-            page_items = self._list_in(page, "items")
-            items += page_items
-            if not page.get("more_pages") or not page_items:
-                if CONFIG_KEY not in map(self._key_of, items):
-                    raise self._make_error("missing", "no configuration in the store")
-                update = self._make_update(items, None, revision)
-                update.newest_revision = newest_revision
-                return update
-            query["after"] = self._last_key(page_items, query.get("after", ""))
+            builder, next_key = await self._read_page(query, builder)
+            if next_key is None:
+                break
+            query["after"] = next_key
+        if not builder.has_configuration:
+            raise self._make_error("missing", "no configuration in the store")
+        return builder.build()
+
+    async def _read_page(
+        self, query: dict[str, Any], builder: UpdateBuilder | None
+    ) -> tuple[UpdateBuilder, str | None]:
+        """Add a page to the builder, a new one at the first page.
+
+        Return it with the key after which the next page begins, None if there is none.
+        A page is decoded at once, since all of them may be larger than a host's memory.
+        """
+        page = await self._get("kv-range", query)
+        # `as_of` is the store revision that an answer shows. Pages are no snapshot, and
+        # stale ones may come from copies of any age.
+        builder = builder or self._start_update(None, page["as_of"])
+        update = builder.update
+        if update.epoch != (self.epoch_ or 0):
+            raise self._make_error("restored", "pages of two histories")
+        update.revision = min(update.revision, page["as_of"])
+        update.newest_revision = max(update.newest_revision, page["as_of"])
+        items = self._list_in(page, "items")
+        self._add(builder, items)
+        if not page.get("more_pages") or not items:
+            return builder, None
+        return builder, self._last_key(items, query.get("after", ""))
 
     async def watch(self, after_revision: int, wait_seconds: float) -> Update:
         """Return changes after a revision, waiting up to `wait_seconds` for the first.
@@ -116,8 +120,9 @@
         query["wait_ms"] = round(1000 * wait_seconds)
         timeout = wait_seconds + WATCH_MARGIN_SECONDS
         response = await self._get("kv-watch", query, timeout)
-        events = self._list_in(response, "events")
-        return self._make_update(events, after_revision, response["as_of"])
+        builder = self._start_update(after_revision, response["as_of"])
+        self._add(builder, self._list_in(response, "events"))
+        return builder.build()
 
     def _list_in(self, response: dict[str, Any], name: str) -> list[Any]:
         values = response.get(name)
@@ -182,9 +187,13 @@
         self.journal.count("store_failures", reason)
         return SourceError(reason, text)
 
-    def _make_update(
-        self, items: list[dict[str, Any]], base_revision: int | None, revision: int
-    ) -> Update:
+    def _add(self, builder: UpdateBuilder, items: list[Any]) -> None:
+        try:
+            builder.add(items)
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            raise self._make_error("garbled", f"an item: {error!r}") from error
+
+    def _start_update(self, base_revision: int | None, revision: int) -> UpdateBuilder:
         update = Update(
             base_revision=base_revision,
             epoch=self.epoch_ or 0,
@@ -192,111 +201,8 @@
             servers=[],
             zones=[],
         )
-        servers_by_id: dict[str, Server] = {}
-        try:
-            for item in items:
-                self._apply_item(update, servers_by_id, item)
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
-            raise self._make_error("garbled", f"an item: {error!r}") from error
-        update.servers = list(servers_by_id.values())
-        if base_revision is None:
-            self._forget_reports({item["key"] for item in items})
-        return update
-
-    def _apply_item(
-        self, update: Update, servers_by_id: dict[str, Server], item: dict[str, Any]
-    ) -> None:
-        key, revision = item["key"], _check_revision(item["revision"])
-        if item.get("deleted"):
-            self._reported_revisions.pop(key, None)
-        try:
-            check_key(key)
-        except EntryError as error:
-            # Peers are not told, since no host can list a server under such a key.
-            if not item.get("deleted"):
-                self._report_unusable(key, revision, str(error))
-            return
-        if key == CONFIG_KEY:
-            if not item.get("deleted"):
-                self._apply_routes(update, b64decode(item["value"]), revision)
-            return
-        if key.startswith(EVACUATION_PREFIX):
-            self._apply_evacuation(update, item)
-            return
-        if not key.startswith(SERVER_PREFIX):
-            return
-        server_id = key.removeprefix(SERVER_PREFIX)
-        server = None if item.get("deleted") else self._decode_item(server_id, item)
-        # The store reports changes in the order of their revisions, so a later one
-        # replaces what it follows.
-        servers_by_id.pop(server_id, None)
-        if server is None:
-            update.removed[server_id] = revision
-        else:
-            update.removed.pop(server_id, None)
-            servers_by_id[server_id] = server
-
-    def _apply_routes(self, update: Update, value: bytes, revision: int) -> None:
-        try:
-            update.routes, problems = decode_configuration(value)
-        except EntryError as error:
-            self._report_unusable(CONFIG_KEY, revision, str(error))
-            return
-        update.routes_revision = revision
-        if problems:
-            self._report_problems(update.routes.version, revision, problems)
-
-    def _apply_evacuation(self, update: Update, item: dict[str, Any]) -> None:
-        key, revision = item["key"], item["revision"]
-        try:
-            zone = decode_evacuated_zone(key)
-        except EntryError as error:
-            if not item.get("deleted"):
-                self._report_unusable(key, revision, str(error))
-            return
-        update.zones.append(ZoneState(zone, not item.get("deleted"), revision))
-
-    def _decode_item(self, server_id: str, item: dict[str, Any]) -> Server | None:
-        key, revision = item["key"], item["revision"]
-        try:
-            value = b64decode(item["value"], validate=True)
-            created = item.get("created_rev")
-            if created is not None:
-                _check_revision(created)
-            return decode_server(server_id, value, revision, created)
-        except (ValueError, TypeError, EntryError) as error:
-            self._report_unusable(key, revision, str(error))
-            return None
-
-    def _forget_reports(self, listed_keys: set[str]) -> None:
-        """Forget the unusable entries that the store no longer has."""
-        for key in set(self._reported_revisions) - listed_keys:
-            del self._reported_revisions[key]
-
-    def _report_problems(
-        self, version: int, revision: int, problems: list[str]
-    ) -> None:
-        if self._is_news(CONFIG_KEY, revision):
-            self.journal.count("configuration_problems", amount=len(problems))
-            self.journal.event(
-                "configuration_problems",
-                version=version,
-                count=len(problems),
-                problems="; ".join(problems[:MAXIMUM_LOGGED_PROBLEMS]),
-            )
-
-    def _is_news(self, key: str, revision: int) -> bool:
-        """Return whether problems of a key's entry are not reported yet."""
-        position = (self.epoch_, revision)
-        if self._reported_revisions.get(key) == position:
-            return False
-        self._reported_revisions[key] = position
-        return True
-
-    def _report_unusable(self, key: str, revision: int, problem: str) -> None:
-        if self._is_news(key, revision):
-            self.journal.count("entries_unusable")
-            self.journal.event("entry_unusable", key=key, problem=problem)
+        self.unusable.epoch = self.epoch_
+        return UpdateBuilder(update=update, unusable=self.unusable)
 
 
 def _decode_epoch(response: HttpResponse) -> int | None:
@@ -311,11 +217,5 @@
 def _check_response(fields: Any) -> dict[str, Any]:
     if not isinstance(fields, dict):
         raise TypeError("the response is no object")
-    _check_revision(fields["as_of"])
+    check_revision(fields["as_of"])
     return fields
-
-
-def _check_revision(value: Any) -> int:
-    if not isinstance(value, int) or not 0 <= value <= MAXIMUM_REVISION:
-        raise TypeError(f"{value!r} is not a revision")
-    return value
--- a/tests/platform/adapter.feature
+++ b/tests/platform/adapter.feature
@@ -219,3 +219,17 @@
     When the operator evacuates z1/z2
     And the operator returns z1/z2
     Then the adapter's watch tells of one unusable entry
+
+  Scenario: a full read of the store holds one page at a time
+    Guards against a host that exceeds its memory because of what others wrote.
+    Given pages of the store with 100 odd entries of 1048576 bytes in all
+    When the adapter loads the pages
+    Then the load took at most 16 MiB of memory
+    And it has 0 servers and the configuration
+
+  Scenario: any number of unusable entries takes a bounded memory
+    Guards against a memory of what was logged that grows with others' entries.
+    Given pages of the store with 100000 odd entries of 9 bytes in all
+    When the adapter loads the pages
+    Then the load took at most 16 MiB of memory
+    And all 100000 unusable entries are counted
--- a/tests/steps/platform_adapter_steps.py
+++ b/tests/steps/platform_adapter_steps.py
@@ -122,7 +122,7 @@
     context.store = PlatformStore(page)
     context.journal = RecordingJournal()
     context.actions = []
-    context.reported_revisions = {}
+    context.reported_positions = {}
     routes = [("198.18.0.1", 443, "reservas")]
     context.store.put("op/config", config_entry(4, routes))
     for number in range(1, count + 1):
@@ -157,7 +157,7 @@
 
 @then("the adapter remembers no unusable entry")
 def then_none_remembered(context):
-    assert context.reported_revisions == {}, len(context.reported_revisions)
+    assert context.reported_positions == {}, len(context.reported_positions)
 
 
 async def _call_adapter(context, call):
@@ -168,7 +168,7 @@
         await trio.sleep(0.05)
         client = HttpClient(endpoint=endpoint, connect_timeout=1.0)
         source = StoreSource(client=client, journal=context.journal)
-        source._reported_revisions = context.reported_revisions
+        source.unusable.positions_by_key = context.reported_positions
         try:
             return await call(source)
         except SourceError as error:
