Bound the size of a server's entry and the length of names

Callers could see refused and unanswered requests on machines with little memory.

Cause: any writer decides how large an entry is and how long its names are. Names are kept with the entry and sent to all hosts; JSON of 1 MiB takes 30 MB once decoded.

Change: entries of over 65,536 bytes and names of over 255 characters are unusable, and logged and counted like others.

--- a/hornbeamdeal/dsr/_field_checks.py
+++ b/hornbeamdeal/dsr/_field_checks.py
@@ -9,12 +9,18 @@
 # nearly all of them. The document of the entry hosts' program has the same bound.
 MAXIMUM_SLOTS = 10_000
 MAXIMUM_MILLISECONDS = 2**31 - 1
+# Names of services, zones and routes: as long as a domain name (RFC 1035, 2.3.4). They
+# are kept with each entry and sent to all hosts.
+MAXIMUM_TEXT_CHARACTERS = 255
 
 
 def check_text(value: Any) -> str:
-    """Return a non-empty text; raise TypeError or ValueError if it is none."""
+    """Return a short, non-empty text; raise TypeError or ValueError if it is none."""
     if not isinstance(value, str) or not value:
         raise TypeError(f"{value!r} is not a non-empty string")
+    if len(value) > MAXIMUM_TEXT_CHARACTERS:
+        text = f"{value[:40]!r}... has {len(value)} characters"
+        raise ValueError(f"{text}, more than {MAXIMUM_TEXT_CHARACTERS}")
     # JSON can hold half of a surrogate pair, which messages and logs can't.
     value.encode()
     return value
--- a/hornbeamdeal/platform/_update_builder.py
+++ b/hornbeamdeal/platform/_update_builder.py
@@ -18,6 +18,9 @@
 
 # Messages between hosts carry revisions and epochs in 64 bits.
 MAXIMUM_REVISION = 2**63 - 1
+# An entry of a server has nine fields. JSON of this size takes some 2 MB once decoded, and
+# the largest value of the store more than a small machine has free.
+MAXIMUM_ENTRY_BYTES = 65_536
 # Problems of a configuration that its log line names at most.
 MAXIMUM_LOGGED_PROBLEMS = 5
 # Unusable entries that are remembered, so that each is logged once. A key has up to 200
@@ -32,6 +35,15 @@
     return value
 
 
+def _decode_value(text: str, maximum_bytes: int) -> bytes:
+    """Return an item's value; raise EntryError, ValueError or TypeError if unusable."""
+    # Base64 encodes three bytes as four characters.
+    byte_count = len(text) // 4 * 3
+    if byte_count - 2 > maximum_bytes:
+        raise EntryError(f"{byte_count} bytes are more than {maximum_bytes}")
+    return b64decode(text, validate=True)
+
+
 class UnusableEntries:
     """Logs and counts unusable entries of the store, each of them once.
 
@@ -204,7 +216,7 @@
     def _decode_server(self, server_id: str, item: dict[str, Any]) -> Server | None:
         key, revision = item["key"], item["revision"]
         try:
-            value = b64decode(item["value"], validate=True)
+            value = _decode_value(item["value"], MAXIMUM_ENTRY_BYTES)
             created = item.get("created_rev")
             if created is not None:
                 check_revision(created)
--- a/tests/platform/adapter.feature
+++ b/tests/platform/adapter.feature
@@ -23,6 +23,8 @@
       | text as slots              |
       | true as slots              |
       | a list as service          |
+      | a service of 256 characters |
+      | a zone of 256 characters   |
       | bytes that are not JSON    |
       | JSON that is not an object |
 
@@ -233,3 +235,19 @@
     When the adapter loads the pages
     Then the load took at most 16 MiB of memory
     And all 100000 unusable entries are counted
+
+  Scenario Outline: entries of the maximum size with <content> take a bounded memory
+    Guards against a host that exceeds its memory because of how a value looks: names are
+    kept and sent to all hosts, and JSON takes many times its size once decoded.
+    Given pages of the store with 30 entries of 1048576 bytes that have <content>
+    When the adapter loads the pages
+    Then the load took at most 16 MiB of memory
+    And it has 0 servers and the configuration
+
+    Examples:
+      | content                  |
+      | a long service name      |
+      | a long zone name         |
+      | objects without fields   |
+      | a list as service        |
+      | spaces around a server   |
--- a/tests/steps/platform_adapter_steps.py
+++ b/tests/steps/platform_adapter_steps.py
@@ -82,6 +82,8 @@
         "text as slots": {"slots": "3"},
         "true as slots": {"slots": True},
         "a list as service": {"service": ["huvo11a"]},
+        "a service of 256 characters": {"service": "s" * 256},
+        "a zone of 256 characters": {"zone": "z" * 256},
     }
     entry |= changes.get(fault, {})
     if fault == "no address":
--- a/tests/steps/platform_store_memory_steps.py
+++ b/tests/steps/platform_store_memory_steps.py
@@ -1,10 +1,12 @@
 """Steps for the memory that reads of the store take."""
 
+import json
 import tracemalloc
 
 from behave import given, then, when
 from fakes.dsr_host import RecordingJournal
 from fakes.paged_client import PagedClient
+from fakes.platform_store import server_entry
 
 from hornbeamdeal.platform._store import StoreSource
 from hornbeamdeal.wire import run_blocking
@@ -24,6 +26,31 @@
     context.client = PagedClient(make_entry, count, page_items)
 
 
+def make_value(content, size):
+    """Return an entry of a size in bytes with some content."""
+    entry = server_entry("reservas", "10.0.0.1:8000")
+    filler = "x" * (size - 300)
+    if content == "objects without fields":
+        return b"[" + b"{}," * (size // 3 - 1) + b"{}]"
+    if content == "spaces around a server":
+        return json.dumps(entry).encode().center(size)
+    changes = {
+        "a long service name": {"service": filler},
+        "a long zone name": {"zone": filler},
+        "a list as service": {"service": [filler]},
+    }
+    return json.dumps(entry | changes[content]).encode()
+
+
+@given(
+    "pages of the store with {count:d} entries of {size:d} bytes that have {content}"
+)
+def given_pages_with_content(context, count, size, content):
+    value = make_value(content, size)
+    assert len(value) <= size
+    context.client = PagedClient(lambda n: (f"servers/x-{n:010x}", value), count, 1)
+
+
 @when("the adapter loads the pages")
 def when_load_pages(context):
     context.journal = RecordingJournal()
