Read the store by pages at once if a watch has too many changes

Callers could see a change in force late.

Cause: a watch whose answer is larger than a host may hold counted as a lost answer, so that the full read which tells the changes waited for a back-off. The text of a garbled answer's error repeated the answer, 65 MB for one of 6 MB.

Change: the client tells an answer that is too large from others that fail; the scheduler treats such a watch as one from a compacted revision. Error texts name the type and the message, and shorten values.

--- a/hornbeamdeal/dsr/_field_checks.py
+++ b/hornbeamdeal/dsr/_field_checks.py
@@ -1,6 +1,7 @@
 """Checks of fields that other programs write, in the store or in messages."""
 
 import math
+import reprlib
 from typing import Any
 
 # Bytes of a server's number, which identifies it in the encapsulation.
@@ -17,7 +18,7 @@
 def check_text(value: Any) -> str:
     """Return a short, non-empty text; raise TypeError or ValueError if it is none."""
     if not isinstance(value, str) or not value:
-        raise TypeError(f"{value!r} is not a non-empty string")
+        raise TypeError(f"{reprlib.repr(value)} is not a non-empty string")
     if len(value) > MAXIMUM_TEXT_CHARACTERS:
         text = f"{value[:40]!r}... has {len(value)} characters"
         raise ValueError(f"{text}, more than {MAXIMUM_TEXT_CHARACTERS}")
@@ -34,7 +35,7 @@
     if isinstance(value, float) and value.is_integer():
         value = int(value)
     if not isinstance(value, int) or isinstance(value, bool):
-        raise TypeError(f"{value!r} is not an integer")
+        raise TypeError(f"{reprlib.repr(value)} is not an integer")
     if not 0 <= value <= maximum:
         raise ValueError(f"an integer is not within 0 and {maximum}")
     return value
@@ -43,9 +44,11 @@
 def check_number(value: Any) -> float:
     """Return a number as a float; raise TypeError or ValueError if out of range."""
     if not isinstance(value, int | float) or isinstance(value, bool):
-        raise TypeError(f"{value!r} is not a number")
+        raise TypeError(f"{reprlib.repr(value)} is not a number")
     if not 0 <= value <= MAXIMUM_MILLISECONDS:
-        raise ValueError(f"{value!r} is not within 0 and {MAXIMUM_MILLISECONDS}")
+        raise ValueError(
+            f"{reprlib.repr(value)} is not within 0 and {MAXIMUM_MILLISECONDS}"
+        )
     return float(value)
 
 
--- a/hornbeamdeal/dsr/_read_scheduler.py
+++ b/hornbeamdeal/dsr/_read_scheduler.py
@@ -28,7 +28,7 @@
 ELECTED_READ_STEP_SECONDS = 0.15
 FALLBACK_READ_JITTER_SECONDS = 0.2
 # Failures after which a full read is due at once, since the store itself is well.
-_UNKNOWN_POSITION_REASONS = ("compacted", "restored")
+_UNKNOWN_POSITION_REASONS = ("compacted", "oversized", "restored")
 # Exponential back-off after failed reads. Elected readers have the lower limit, so
 # that the return of the store is noticed soon.
 FIRST_RETRY_SECONDS = 0.3
@@ -153,8 +153,8 @@
     def record_failure(self, now: float, reason: str) -> None:
         """Record a failed read and back off.
 
-        If the store only doesn't have the history after the revision, a full read is
-        due at once, but not again before a watch from there has been answered.
+        If the store only can't tell the changes after the revision, a full read is due
+        at once, but not again before a watch from there has been answered.
         """
         self.must_reload = True
         if reason in _UNKNOWN_POSITION_REASONS and not self._is_reload_unused:
--- a/hornbeamdeal/dsr/_source.py
+++ b/hornbeamdeal/dsr/_source.py
@@ -11,9 +11,10 @@
     """Raised when a read of the store fails or its answer is unusable.
 
     `reason` is one of `compacted` (the history after the revision is gone, so that a
-    full read is needed), `restored` (the answer is of another epoch than expected, so
-    that a full read is needed as well), `throttled`, `unavailable`, `missing`, `refused`, `lost`,
-    `garbled` and `unexpected`.
+    full read is needed), `restored` (the answer is of another epoch than expected),
+    `oversized` (a watch has more changes than a host may hold at once; these three need a
+    full read), `throttled`, `unavailable`, `missing`, `refused`, `lost`, `garbled` and
+    `unexpected`.
     """
 
     __slots__ = ("reason",)
--- a/hornbeamdeal/platform/_configuration.py
+++ b/hornbeamdeal/platform/_configuration.py
@@ -62,7 +62,8 @@
         )
         return table, reader.problems
     except VALUE_ERRORS as error:
-        raise EntryError(f"configuration: {error!r}") from error
+        text = f"{type(error).__name__}: {error}"
+        raise EntryError(f"configuration: {text}") from error
 
 
 class _PartReader:
--- a/hornbeamdeal/platform/_entries.py
+++ b/hornbeamdeal/platform/_entries.py
@@ -75,7 +75,8 @@
             cold_seconds=parse_seconds(fields.get("cold_remaining_ms", 0)),
         )
     except VALUE_ERRORS as error:
-        raise EntryError(f"entry of {server_id!r}: {error!r}") from error
+        text = f"{type(error).__name__}: {error}"
+        raise EntryError(f"entry of {server_id!r}: {text}") from error
 
 
 def decode_evacuated_zone(key: str) -> str:
--- a/hornbeamdeal/platform/_store.py
+++ b/hornbeamdeal/platform/_store.py
@@ -6,7 +6,7 @@
 
 from hornbeamdeal.dsr import Journal, SourceError, Update
 from hornbeamdeal.kernel import Endpoint
-from hornbeamdeal.wire import HttpError, HttpResponse
+from hornbeamdeal.wire import BodyTooLargeError, HttpError, HttpResponse
 
 from ._entries import EntryError, check_key
 from ._update_builder import (
@@ -96,7 +96,10 @@
         Return it with the key after which the next page begins, None if there is none.
         A page is decoded at once, since all of them may be larger than a host's memory.
         """
-        page = await self._get("kv-range", query)
+        try:
+            page = await self._get("kv-range", query)
+        except BodyTooLargeError as error:
+            raise self._make_error("lost", str(error)) from error
         # `as_of` is the store revision that an answer shows. Pages are no snapshot, and
         # stale ones may come from copies of any age.
         builder = builder or self._start_update(None, page["as_of"])
@@ -119,7 +122,11 @@
         query = {"prefix": "", "after": after_revision}
         query["wait_ms"] = round(1000 * wait_seconds)
         timeout = wait_seconds + WATCH_MARGIN_SECONDS
-        response = await self._get("kv-watch", query, timeout)
+        try:
+            response = await self._get("kv-watch", query, timeout)
+        except BodyTooLargeError as error:
+            # A full read is answered page by page.
+            raise self._make_error("oversized", str(error)) from error
         builder = self._start_update(after_revision, response["as_of"])
         self._add(builder, self._list_in(response, "events"))
         return builder.build()
@@ -161,6 +168,8 @@
         self.journal.count("store_calls", name)
         try:
             response = await self.client.get(target, timeout)
+        except BodyTooLargeError:
+            raise
         except HttpError as error:
             raise self._make_error("lost", str(error)) from error
         self.journal.count("store_bytes", name, amount=len(response.body))
@@ -171,7 +180,9 @@
         try:
             return _check_response(json.loads(response.body))
         except (ValueError, KeyError, TypeError, RecursionError) as error:
-            raise self._make_error("garbled", f"{target}: {error!r}") from error
+            # The representation of an error may hold the whole body.
+            text = f"{target}: {type(error).__name__}: {error}"
+            raise self._make_error("garbled", text) from error
 
     def _record_epoch(self, response: HttpResponse, target: str) -> None:
         try:
@@ -191,7 +202,8 @@
         try:
             builder.add(items)
         except (ValueError, KeyError, TypeError, AttributeError) as error:
-            raise self._make_error("garbled", f"an item: {error!r}") from error
+            text = f"an item: {type(error).__name__}: {error}"
+            raise self._make_error("garbled", text) from error
 
     def _start_update(self, base_revision: int | None, revision: int) -> UpdateBuilder:
         update = Update(
--- a/hornbeamdeal/platform/_update_builder.py
+++ b/hornbeamdeal/platform/_update_builder.py
@@ -1,5 +1,6 @@
 """Builds updates of the catalog from the items of the store."""
 
+import reprlib
 from base64 import b64decode
 from typing import Any
 
@@ -31,7 +32,7 @@
 def check_revision(value: Any) -> int:
     """Return a revision of the store; raise TypeError if it is none."""
     if not isinstance(value, int) or not 0 <= value <= MAXIMUM_REVISION:
-        raise TypeError(f"{value!r} is not a revision")
+        raise TypeError(f"{reprlib.repr(value)} is not a revision")
     return value
 
 
--- a/hornbeamdeal/wire/__init__.py
+++ b/hornbeamdeal/wire/__init__.py
@@ -40,7 +40,7 @@
             "decode_packet",
         ],
         "_blocking_http": ["BlockingHttpClient", "run_blocking"],
-        "_http_exchange": ["HttpError", "HttpResponse"],
+        "_http_exchange": ["BodyTooLargeError", "HttpError", "HttpResponse"],
         "_http": [
             "HttpClient",
             "HttpRequest",
--- a/hornbeamdeal/wire/_http.py
+++ b/hornbeamdeal/wire/_http.py
@@ -13,7 +13,13 @@
 from hornbeamdeal.kernel import Endpoint
 
 from ._connections import STREAM_ERRORS, ErrorRecorder, log_error, serve_connections
-from ._http_exchange import RECEIVE_BYTES, HttpError, HttpResponse, exchange
+from ._http_exchange import (
+    RECEIVE_BYTES,
+    BodyTooLargeError,
+    HttpError,
+    HttpResponse,
+    exchange,
+)
 
 # Longer than the 30 s for which the platform may delay the response to a watch.
 REQUEST_TIMEOUT_SECONDS = 40.0
@@ -67,7 +73,8 @@
     async def get(self, target: str, timeout_seconds: float) -> HttpResponse:
         """Request one resource; raise HttpError if no complete response arrives.
 
-        The timeout excludes the time to connect.
+        It is a BodyTooLargeError if the response is too large. The timeout excludes the
+        time to connect.
         """
         is_reusable = False
         endpoint = self.endpoint
@@ -82,6 +89,8 @@
             self._check_endpoint(endpoint)
             is_reusable = keeps_alive
             return response
+        except BodyTooLargeError:
+            raise
         except _REQUEST_ERRORS as error:
             text = f"GET {target} from {endpoint}: {error!r}"
             raise HttpError(text) from error
--- a/tests/dsr/read_scheduler.feature
+++ b/tests/dsr/read_scheduler.feature
@@ -64,3 +64,9 @@
     And a watch is answered
     And a watch fails as restored
     Then the next read is due in 0 s to 0 s
+
+  Scenario: a watch with too many changes is followed by a full read at once
+    Given the read scheduler of the host at position 0
+    When a watch fails as oversized
+    Then the next read is due in 0 s to 0 s
+    And the next read is a full one
--- a/tests/platform/adapter.feature
+++ b/tests/platform/adapter.feature
@@ -251,3 +251,26 @@
       | objects without fields   |
       | a list as service        |
       | spaces around a server   |
+
+  Scenario: a watch with more changes than a host may hold fails as oversized
+    Guards against a pause before the full read that tells the changes, as after an
+    answer that was lost.
+    Given a stand-in store with 3 servers on pages of 2
+    When 5 odd entries of 1048576 bytes are written
+    Then the adapter's watch fails as oversized
+    And the adapter's load has 3 servers
+
+  Scenario Outline: an answer of the maximum size that <fault> takes a bounded memory
+    Guards against error texts that repeat the whole answer.
+    Given an answer of the store with 5900000 bytes that <fault>
+    When the adapter reads it and logs the failure
+    Then the read failed as <reason>
+    And the load took at most 40 MiB of memory
+
+    Examples:
+      | fault                     | reason  |
+      | is no text                | garbled |
+      | has a text as revision    | garbled |
+      | has a list as key         | garbled |
+      | is no list of items       | garbled |
+      | has headers without end   | lost    |
--- a/tests/steps/platform_adapter_steps.py
+++ b/tests/steps/platform_adapter_steps.py
@@ -338,6 +338,11 @@
     assert isinstance(error, SourceError) and error.reason == reason, error
 
 
+@then("the adapter's load has {count:d} servers")
+def then_load_has(context, count):
+    assert len(load(context).servers) == count
+
+
 @given(
     "a start that forwards packets between imports and reads the store each"
     " {seconds:g} s"
--- a/tests/steps/platform_store_memory_steps.py
+++ b/tests/steps/platform_store_memory_steps.py
@@ -2,14 +2,19 @@
 
 import json
 import tracemalloc
+from contextlib import contextmanager
 
 from behave import given, then, when
 from fakes.dsr_host import RecordingJournal
+from fakes.fake_connection import FakeConnection
 from fakes.paged_client import PagedClient
 from fakes.platform_store import server_entry
 
+from hornbeamdeal.dsr import SourceError
+from hornbeamdeal.kernel import Endpoint, ManualClock
+from hornbeamdeal.observability import BufferedJournal
 from hornbeamdeal.platform._store import StoreSource
-from hornbeamdeal.wire import run_blocking
+from hornbeamdeal.wire import BlockingHttpClient, run_blocking
 
 MEBIBYTE = 1024 * 1024
 # A page has about 500 items or 1 MB at most, and one item at least.
@@ -17,6 +22,17 @@
 PAGE_BYTES = 1_000_000
 
 
+@contextmanager
+def traced_peak(context):
+    """Record the most bytes that were allocated at once."""
+    tracemalloc.start()
+    try:
+        yield
+        _, context.peak_bytes = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+
+
 @given("pages of the store with {count:d} odd entries of {size:d} bytes in all")
 def given_pages(context, count, size):
     def make_entry(number):
@@ -51,17 +67,48 @@
     context.client = PagedClient(lambda n: (f"servers/x-{n:010x}", value), count, 1)
 
 
+@given("an answer of the store with {size:d} bytes that {fault}")
+def given_large_answer(context, size, fault):
+    padding = b"x" * (size - 100)
+    head = b"HTTP/1.1 200 OK\r\nX-A: "
+    if fault == "has headers without end":
+        answer = head + padding
+    else:
+        body = {
+            "is no text": b"\xff" * size,
+            "has a text as revision": b'{"as_of":"%s"}' % padding,
+            "has a list as key": b'{"as_of":1,"items":[{"key":["%s"]}]}' % padding,
+            "is no list of items": b'{"as_of":1,"items":"%s"}' % padding,
+        }[fault]
+        answer = head + b"a\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+    context.client = BlockingHttpClient(endpoint=Endpoint("127.0.0.1", 1))
+    context.client.connection_ = FakeConnection(answer)
+
+
+@when("the adapter reads it and logs the failure")
+def when_read_fails(context):
+    journal = BufferedJournal(host_id="a", clock=ManualClock(0.0))
+    source = StoreSource(client=context.client, journal=journal)
+    with traced_peak(context):
+        try:
+            run_blocking(source.load(may_be_stale=False))
+        except SourceError as error:
+            journal.event("read_failed", reason=error.reason, detail=error)
+            context.reason = error.reason
+
+
+@then("the read failed as {reason}")
+def then_reason(context, reason):
+    assert context.reason == reason, context.reason
+
+
 @when("the adapter loads the pages")
 def when_load_pages(context):
     context.journal = RecordingJournal()
-    context.journal.events = CountedEvents()
+    context.journal.events = UnkeptEvents()
     source = StoreSource(client=context.client, journal=context.journal)
-    tracemalloc.start()
-    try:
+    with traced_peak(context):
         context.update = run_blocking(source.load(may_be_stale=False))
-        _, context.peak_bytes = tracemalloc.get_traced_memory()
-    finally:
-        tracemalloc.stop()
     assert context.client.pages == context.client.page_count
 
 
@@ -76,7 +123,7 @@
     assert sum(n for (name, _), n in counts if name == "entries_unusable") == count
 
 
-class CountedEvents(list):
+class UnkeptEvents(list):
     """Log lines that are not kept, as a node writes them."""
 
     def append(self, event):
--- a/tests/steps/wire_memory_steps.py
+++ b/tests/steps/wire_memory_steps.py
@@ -6,6 +6,7 @@
 
 import trio
 from behave import then, when
+from fakes.fake_connection import FakeConnection
 
 from hornbeamdeal.kernel import Endpoint
 from hornbeamdeal.wire import BlockingHttpClient, HttpResponse, run_blocking
@@ -15,36 +16,6 @@
 ENDPOINT = Endpoint("127.0.0.1", 1)
 
 
-class FakeConnection:
-    """Connection that replays received data in pieces and drops what is sent."""
-
-    def __init__(self, data=b""):
-        self.data = memoryview(data)
-        self.socket = self
-
-    def recv(self, max_bytes):
-        """Return the next piece."""
-        piece, self.data = self.data[:max_bytes], self.data[max_bytes:]
-        return bytes(piece)
-
-    async def receive_some(self, max_bytes):
-        """Return the next piece."""
-        return self.recv(max_bytes)
-
-    def sendall(self, data):
-        """Drop the data."""
-
-    async def send_all(self, data):
-        """Drop the data."""
-
-    def getpeername(self):
-        """Return the address of the other end."""
-        return "127.0.0.1", 2
-
-    def close(self):
-        """Do nothing."""
-
-
 @contextmanager
 def measured_growth(context):
     """Record the bytes that are allocated at the end and were not before.
