Watch the store between the pages of a long full read

Callers could see a change of the configuration or a drain in force late, and at a start no answer for seconds.

Cause: a reader learned of no change before the last page of a full read, and other writers decide how many pages there are. At a start, packets waited for the whole read.

Change: once the catalog is 0.7 s old, the reader asks for the changes between two pages, and peers get them. Full reads take at most a tenth of a reader's time. A start gives up a read after 2 s and goes on in the event loop, where peers can send the catalog; a first read ends when they have.

--- a/hornbeamdeal/dsr/__init__.py
+++ b/hornbeamdeal/dsr/__init__.py
@@ -69,7 +69,7 @@
         "_server_speeds": ["ServerSpeeds"],
         "_slow_start": ["SlowStart"],
         "_speed_exchange": ["SpeedExchange"],
-        "_source": ["Source", "SourceError"],
+        "_source": ["AfterPage", "Source", "SourceError"],
         "_zone_reach": ["ZoneReach"],
         "_zone_spill": ["ZoneSpill"],
     },
--- a/hornbeamdeal/dsr/_catalog_reader.py
+++ b/hornbeamdeal/dsr/_catalog_reader.py
@@ -18,6 +18,9 @@
 
 # Upper bound between two checks whether a read is due.
 CHECK_INTERVAL_SECONDS = 0.1
+# Age of the catalog at which the store is watched between two pages of a full read. With
+# large entries of other writers, a read may take many seconds.
+PAGE_WATCH_AGE_SECONDS = 0.7
 # Delay between attempts to load the first catalog.
 LOAD_RETRY_SECONDS = 0.25
 # Kinds of changes after which a server's entry differs from the one before.
@@ -82,6 +85,7 @@
         "peering",
         "server_speeds",
         "source",
+        "_watches_between_pages",
     )
 
     def __init__(
@@ -103,6 +107,7 @@
         self.source = source
         self.server_speeds = server_speeds
         self.peering: Broadcaster | None = None
+        self._watches_between_pages = True
 
     def handle_server_changes(self, changes: list[tuple[str, Any]]) -> None:
         """Log changes of servers and discard what was known of removed ones.
@@ -163,7 +168,9 @@
         while not self.catalog.is_complete:
             started = self.clock.monotonic()
             try:
-                update = await self.source.load(may_be_stale=True)
+                update = await self.source.load(
+                    may_be_stale=True, after_page=self._check_still_incomplete
+                )
             except SourceError as error:
                 self.journal.event("load_failed", reason=error.reason, detail=error)
                 await trio.sleep(LOAD_RETRY_SECONDS)
@@ -180,6 +187,10 @@
             self.catalog.confirm(now)
             self._log_loaded(update, now - started, may_be_stale=True)
 
+    async def _check_still_incomplete(self) -> None:
+        if self.catalog.is_complete:
+            raise SourceError("superseded", "a peer has sent the catalog meanwhile")
+
     async def _read(self) -> None:
         was_reading = self.read_scheduler.is_reading
         self.read_scheduler.record_read_start()
@@ -187,7 +198,7 @@
             if self.read_scheduler.is_reload_due(self.clock.monotonic()):
                 await self._reload()
             else:
-                await self._watch()
+                await self._watch(self.read_scheduler.watch_timeout)
         except SourceError as error:
             self._record_failure(error, was_reading)
             return
@@ -200,9 +211,9 @@
         if self.read_scheduler.is_reading and not was_reading:
             self.journal.event("reading_started", position=self.read_scheduler.position)
 
-    async def _watch(self) -> None:
+    async def _watch(self, wait_seconds: float) -> None:
         epoch, revision = self.catalog.epoch, self.catalog.revision
-        update = await self.source.watch(revision, self.read_scheduler.watch_timeout)
+        update = await self.source.watch(revision, wait_seconds)
         if update.epoch != epoch:
             # The revision means another position in the answer's history.
             text = f"a watch from epoch {epoch} was answered in epoch {update.epoch}"
@@ -214,15 +225,33 @@
     async def _reload(self) -> None:
         started = self.clock.monotonic()
         epoch, revision = self.catalog.epoch, self.catalog.revision
-        update = await self.source.load(may_be_stale=False)
+        self._watches_between_pages = True
+        update = await self.source.load(
+            may_be_stale=False, after_page=self._watch_between_pages
+        )
         update.needs_exact_base = True
         now = self.clock.monotonic()
-        self.read_scheduler.record_reload(now)
+        self.read_scheduler.record_reload(now, now - started)
         if (update.epoch, update.revision) < (epoch, revision):
             self._record_lost_history(update, epoch, revision)
         self._apply_answer(update, started)
         self._log_loaded(update, now - started, may_be_stale=False)
 
+    async def _watch_between_pages(self) -> None:
+        """Read the changes since the catalog's revision if it is old.
+
+        What the full read then shows of an earlier revision does not replace them. If
+        the store can't tell them, they come with the full read.
+        """
+        is_old = self.catalog.age(self.clock.monotonic()) >= PAGE_WATCH_AGE_SECONDS
+        if not (is_old and self._watches_between_pages):
+            return
+        try:
+            await self._watch(wait_seconds=0.0)
+        except SourceError as error:
+            self._watches_between_pages = False
+            self.journal.event("page_watch_failed", reason=error.reason, detail=error)
+
     def _record_lost_history(self, update: Update, epoch: int, revision: int) -> None:
         """Discard the known position, since a consistent read is behind it.
 
--- a/hornbeamdeal/dsr/_read_scheduler.py
+++ b/hornbeamdeal/dsr/_read_scheduler.py
@@ -38,6 +38,8 @@
 FRESH_UPDATE_SECONDS = 0.9
 # A reader reloads everything this often, in case a watch omitted a change.
 RELOAD_INTERVAL_SECONDS = 10.0
+# Most of the time that it spends on these reads, however large the store is.
+RELOAD_TIME_SHARE = 0.1
 
 
 class ReadScheduler:
@@ -134,17 +136,18 @@
         read began.
         """
         if not self.is_reading:
-            self.reload_due = now + RELOAD_INTERVAL_SECONDS
+            self.reload_due = max(self.reload_due, now + RELOAD_INTERVAL_SECONDS)
         self._failures = 0
         self._earliest_read_at = now + (CHANGE_BATCH_SECONDS if changed else 0.0)
         self.is_reading = not self._has_yielded
 
-    def record_reload(self, now: float) -> None:
-        """Record a full read."""
+    def record_reload(self, now: float, seconds: float = 0.0) -> None:
+        """Record a full read that took some seconds."""
         self.must_reload = False
         self.verification.record_read(now)
         self._is_reload_unused = True
-        self.reload_due = now + RELOAD_INTERVAL_SECONDS
+        interval = max(RELOAD_INTERVAL_SECONDS, seconds / RELOAD_TIME_SHARE)
+        self.reload_due = now + interval
 
     def record_watch(self) -> None:
         """Record that a watch was answered."""
--- a/hornbeamdeal/dsr/_source.py
+++ b/hornbeamdeal/dsr/_source.py
@@ -1,5 +1,6 @@
 """Interface of the store that publishes routes and servers."""
 
+from collections.abc import Awaitable, Callable
 from typing import Protocol
 
 from hornbeamdeal.kernel import HornbeamdealError
@@ -13,8 +14,8 @@
     `reason` is one of `compacted` (the history after the revision is gone, so that a
     full read is needed), `restored` (the answer is of another epoch than expected),
     `oversized` (a watch has more changes than a host may hold at once; these three need a
-    full read), `throttled`, `unavailable`, `missing`, `refused`, `lost`, `garbled` and
-    `unexpected`.
+    full read), `throttled`, `unavailable`, `missing`, `refused`, `lost`, `garbled`,
+    `superseded` (the read is no longer needed) and `unexpected`.
     """
 
     __slots__ = ("reason",)
@@ -24,11 +25,20 @@
         super().__init__(text)
 
 
+# Awaited between two pages of a full read; an error that it raises ends the read.
+AfterPage = Callable[[], Awaitable[None]]
+
+
 class Source(Protocol):
     """Reads the store that publishes routes and servers."""
 
-    async def load(self, may_be_stale: bool) -> Update:
-        """Return a full copy; raise SourceError if the read fails."""
+    async def load(
+        self, may_be_stale: bool, after_page: AfterPage | None = None
+    ) -> Update:
+        """Return a full copy; raise SourceError if the read fails.
+
+        Other reads may be made in `after_page`.
+        """
 
     async def watch(self, after_revision: int, wait_seconds: float) -> Update:
         """Return changes after a revision, waiting for some up to `wait_seconds`.
--- a/hornbeamdeal/platform/_startup.py
+++ b/hornbeamdeal/platform/_startup.py
@@ -30,6 +30,9 @@
 # Share of the time limits for changes after which a start that still goes on reads the
 # catalog again. The first read may be seconds old, and no peer can be heard yet.
 RELOAD_SHARE = 0.4
+# A read of the start that takes longer is left to the event loop, where packets are
+# forwarded meanwhile and peers can send the catalog.
+START_READ_SECONDS = 2.0
 # Failures of a store that answers but does not serve a consistent read now.
 _OVERLOAD_REASONS = ("throttled", "unavailable")
 
@@ -62,8 +65,15 @@
     started = time.monotonic()
     client = BlockingHttpClient(endpoint=store)
     source = StoreSource(client=client, journal=journal)
+
+    async def check_time() -> None:
+        if time.monotonic() - started > START_READ_SECONDS:
+            text = f"no full read within {START_READ_SECONDS} s"
+            raise SourceError("superseded", text)
+
     try:
-        update = run_blocking(source.load(may_be_stale=may_be_stale))
+        load = source.load(may_be_stale=may_be_stale, after_page=check_time)
+        update = run_blocking(load)
     except SourceError as error:
         journal.event("load_failed", reason=error.reason, detail=error)
         return error.reason
--- a/hornbeamdeal/platform/_store.py
+++ b/hornbeamdeal/platform/_store.py
@@ -4,7 +4,7 @@
 from typing import Any, Protocol
 from urllib.parse import urlencode
 
-from hornbeamdeal.dsr import Journal, SourceError, Update
+from hornbeamdeal.dsr import AfterPage, Journal, SourceError, Update
 from hornbeamdeal.kernel import Endpoint
 from hornbeamdeal.wire import BodyTooLargeError, HttpError, HttpResponse
 
@@ -68,11 +68,13 @@
         """Read the store at another address from now on; a read in progress fails."""
         self.client.move_to(endpoint)
 
-    async def load(self, may_be_stale: bool) -> Update:
+    async def load(
+        self, may_be_stale: bool, after_page: AfterPage | None = None
+    ) -> Update:
         """Return all routes and servers as an update.
 
-        Raise SourceError if the read fails.
-        A stale read costs the store less and may be seconds old.
+        Raise SourceError if the read fails, or what `after_page` raises between two
+        pages. A stale read costs the store less and may be seconds old.
         """
         # Without a prefix, one call returns the configuration with the servers.
         query: dict[str, Any] = {"prefix": ""}
@@ -84,6 +86,8 @@
             if next_key is None:
                 break
             query["after"] = next_key
+            if after_page is not None:
+                await after_page()
         if not builder.has_configuration:
             raise self._make_error("missing", "no configuration in the store")
         return builder.build()
--- a/tests/fakes/dsr_fleet_simulation.py
+++ b/tests/fakes/dsr_fleet_simulation.py
@@ -125,7 +125,7 @@
         self.store = store
         self.host_id = host_id
 
-    async def load(self, may_be_stale):
+    async def load(self, may_be_stale, after_page=None):
         await self._call("load")
         store = self.store
         return Update(
--- a/tests/fakes/reading_fleet.py
+++ b/tests/fakes/reading_fleet.py
@@ -25,7 +25,7 @@
     def __init__(self, store):
         self.store = store
 
-    async def load(self, may_be_stale):
+    async def load(self, may_be_stale, after_page=None):
         return self.store.read()
 
     async def watch(self, after_revision, wait_seconds):
@@ -145,7 +145,10 @@
 
     def _begin_read(self):
         reader = self.random.choice(self.readers)
-        if any(pending is reader for pending, _ in self._pending):
+        answers = [answer for pending, answer in self._pending if pending is reader]
+        if answers:
+            if answers[0].base_revision is None:
+                self._watch_between_pages(reader)
             return
         if self.random.random() < 0.7:
             answer = self.store.watch(reader.catalog.revision)
@@ -159,6 +162,10 @@
             answer.needs_exact_base = True
         self._pending.append((reader, answer))
 
+    def _watch_between_pages(self, reader):
+        answer = self.store.watch(reader.catalog.revision)
+        reader._apply_answer(answer, self.now)
+
     def _end_read(self):
         if not self._pending:
             return
--- a/tests/fakes/unexpected_source.py
+++ b/tests/fakes/unexpected_source.py
@@ -8,7 +8,7 @@
         self.update = update
         self.errors = errors
 
-    async def load(self, may_be_stale):
+    async def load(self, may_be_stale, after_page=None):
         """Return the update, or raise the error."""
         return self._answer()
 
--- a/tests/steps/dsr_catalog_steps.py
+++ b/tests/steps/dsr_catalog_steps.py
@@ -206,7 +206,7 @@
     async def watch(self, after_revision, wait_seconds):
         return self.answer
 
-    async def load(self, may_be_stale):
+    async def load(self, may_be_stale, after_page=None):
         return self.answer
 
 
--- a/tests/steps/dsr_restored_catalog_steps.py
+++ b/tests/steps/dsr_restored_catalog_steps.py
@@ -206,7 +206,7 @@
         self.watched_from.append(after_revision)
         return self.answer
 
-    async def load(self, may_be_stale):
+    async def load(self, may_be_stale, after_page=None):
         self.loads += 1
         return self.answer
 
--- a/tests/steps/platform_store_memory_steps.py
+++ b/tests/steps/platform_store_memory_steps.py
@@ -1,11 +1,13 @@
 """Steps for the memory that reads of the store take."""
 
 import json
+import time
 import tracemalloc
 from contextlib import contextmanager
+from unittest.mock import patch
 
 from behave import given, then, when
-from fakes.dsr_host import RecordingJournal
+from fakes.dsr_host import Host, RecordingJournal
 from fakes.fake_connection import FakeConnection
 from fakes.paged_client import PagedClient
 from fakes.platform_store import server_entry
@@ -13,6 +15,7 @@
 from hornbeamdeal.dsr import SourceError
 from hornbeamdeal.kernel import Endpoint, ManualClock
 from hornbeamdeal.observability import BufferedJournal
+from hornbeamdeal.platform import _startup
 from hornbeamdeal.platform._store import StoreSource
 from hornbeamdeal.wire import BlockingHttpClient, run_blocking
 
@@ -128,3 +131,36 @@
 
     def append(self, event):
         """Drop a line."""
+
+
+@given("a store with {pages:d} pages that answers in {seconds:g} s")
+def given_slow_pages(context, pages, seconds):
+    context.client = SlowPages(lambda n: (f"servers/x-{n:010x}", b"x"), pages, 1)
+    context.client.seconds = seconds
+
+
+@when("a node reads it at its start")
+def when_node_reads(context):
+    host = Host()
+    started = time.monotonic()
+    with patch.object(_startup, "BlockingHttpClient", lambda endpoint: context.client):
+        _startup.load_catalog(None, host.forwarder, host.journal, may_be_stale=False)
+    context.seconds = time.monotonic() - started
+    assert not host.catalog.is_complete
+
+
+@then("the read is given up after {least:g} s to {most:g} s")
+def then_given_up(context, least, most):
+    assert least <= context.seconds <= most, context.seconds
+
+
+class SlowPages(PagedClient):
+    """Client of a store that answers after some time."""
+
+    async def get(self, target, timeout_seconds):
+        """Block for the time and return the next page."""
+        time.sleep(self.seconds)
+        return await super().get(target, timeout_seconds)
+
+    def close(self):
+        """Do nothing."""
