Give a large answer of the store more time while it arrives

Callers of a host with a narrow link could see changes late if it reads the store itself.

Cause: each answer had 0.7 s in all. A page with an entry of 1 MiB takes 2.3 s on the narrowest link in use, so that a host there could never read the store.

Change: an answer that arrives at 250 kB/s or more is waited for; a pause as long as the first limit still ends the wait.

Test: tests/wire/connections.feature, three scenarios on narrow links, of which the first failed before.

--- a/hornbeamdeal/wire/_http.py
+++ b/hornbeamdeal/wire/_http.py
@@ -23,6 +23,9 @@
 
 # Longer than the 30 s for which the platform may delay the response to a watch.
 REQUEST_TIMEOUT_SECONDS = 40.0
+# A response that arrives at this rate or faster is waited for. The narrowest link has
+# some 600 KB/s, which callers' packets share.
+MINIMUM_BYTES_PER_SECOND = 250_000
 MAXIMUM_CONNECTIONS = 64
 # Requests have no body, so this limits the request line and headers.
 MAXIMUM_REQUEST_BYTES = 65536
@@ -74,7 +77,7 @@
         """Request one resource; raise HttpError if no complete response arrives.
 
         It is a BodyTooLargeError if the response is too large. The timeout excludes the
-        time to connect.
+        time to connect; a large response gets more time as long as it keeps arriving.
         """
         is_reusable = False
         endpoint = self.endpoint
@@ -82,9 +85,10 @@
             if self.stream_ is None:
                 await self._connect()
             self._check_endpoint(endpoint)
-            with trio.fail_after(timeout_seconds):
+            with trio.fail_after(timeout_seconds) as scope:
+                stream = _TimedStream(self.stream_, scope, timeout_seconds)
                 response, keeps_alive = await exchange(
-                    self.stream_, endpoint, target, keep_alive=True
+                    stream, endpoint, target, keep_alive=True
                 )
             self._check_endpoint(endpoint)
             is_reusable = keeps_alive
@@ -125,6 +129,39 @@
         self.stream_ = trio.SocketStream(connection)
 
 
+class _TimedStream:
+    """Stream that extends a time limit by what is received at the minimum rate.
+
+    A pause as long as the first limit ends the wait all the same.
+    """
+
+    __slots__ = ("received", "scope", "stream", "timeout", "_first_deadline")
+
+    def __init__(
+        self, stream: trio.SocketStream, scope: trio.CancelScope, timeout: float
+    ):
+        self.stream = stream
+        self.scope = scope
+        self.timeout = timeout
+        self.received = 0
+        self._first_deadline = scope.deadline
+
+    async def send_all(self, data: bytes) -> None:
+        """Send all data."""
+        await self.stream.send_all(data)
+
+    async def receive_some(self, max_bytes: int) -> bytes:
+        """Return received data, empty at the end of the stream."""
+        data = await self.stream.receive_some(max_bytes)
+        self.received += len(data)
+        extension = self.received / MINIMUM_BYTES_PER_SECOND
+        pause_ends_at = trio.current_time() + self.timeout
+        self.scope.deadline = max(
+            self._first_deadline, min(self._first_deadline + extension, pause_ends_at)
+        )
+        return data
+
+
 class _RequestReader:
     """Collects one request; its methods are callbacks of the parser.
 
--- a/tests/steps/connections_steps.py
+++ b/tests/steps/connections_steps.py
@@ -1,8 +1,10 @@
 """Steps for connections that fail or send malformed data."""
 
+import contextlib
 import random
 import socket
 import struct
+from functools import partial
 
 import trio
 from behave import given, then, when
@@ -238,3 +240,52 @@
 @then("the request fails with an HTTP error")
 def then_http_error(context):
     assert isinstance(context.result, HttpError), context.result
+
+
+CHUNK_SECONDS = 0.05
+
+
+@when(
+    "a store sends a response of {size:d} bytes at {rate:d} bytes a second and {then}"
+)
+def when_slow_response(context, size, rate, then):
+    async def serve(stream):
+        await stream.receive_some(1000)
+        await stream.send_all(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size)
+        left = size
+        end = size * 3 // 4 if then == "stops after a quarter" else 0
+        while left > end:
+            count = min(left, round(rate * CHUNK_SECONDS))
+            await stream.send_all(bytes(count))
+            left -= count
+            await trio.sleep(CHUNK_SECONDS)
+        await trio.sleep_forever()
+
+    async def serve_one(stream):
+        # The client may have closed the connection.
+        with contextlib.suppress(trio.BrokenResourceError):
+            await serve(stream)
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            listen = partial(trio.serve_tcp, serve_one, 0, host=IP)
+            [listener] = await nursery.start(listen)
+            port = listener.socket.getsockname()[1]
+            client = HttpClient(endpoint=Endpoint(IP, port), connect_timeout=1.0)
+            started = trio.current_time()
+            try:
+                await client.get("/", 0.7)
+                context.result = "succeeds"
+            except HttpError:
+                context.result = "fails"
+            context.seconds = trio.current_time() - started
+            client.close()
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+@then("a request with a timeout of 0.7 s {result} within {seconds:g} s")
+def then_request(context, result, seconds):
+    assert context.result == result
+    assert context.seconds <= seconds, context.seconds
--- a/tests/wire/connections.feature
+++ b/tests/wire/connections.feature
@@ -67,3 +67,15 @@
     Guards against an error that no reader of the store expects.
     When a server answers a request with status 101
     Then the request fails with an HTTP error
+
+  Scenario Outline: a response over a narrow link is waited for while it arrives
+    Guards against a host with a narrow link that can't read a store with large entries,
+    A store that goes silent halfway ends the wait.
+    When a store sends a response of 1400000 bytes at <rate> bytes a second and <then>
+    Then a request with a timeout of 0.7 s <result> within <seconds> s
+
+    Examples:
+      | rate   | then                  | result   | seconds |
+      | 600000 | completes it          | succeeds | 4       |
+      | 600000 | stops after a quarter | fails    | 2.5     |
+      | 50000  | completes it          | fails    | 2       |
