Bound the pause after failed reads by the contact time

Cause: a host that is not an elected reader paused for up to 6 s after failed reads, counting on readers that were dead. Suspicion of the dead ones, suspended for up to 15 s at an isolated host, kept it from becoming an elected reader.

Evidence: read_failed now tells position, election and pause. In simulation, readers that live but are cut off from the store leave the other host 5.0 s behind too, so that the suspicion is not needed for it.

Change: no pause is longer than 0.6 of `bounds.contact_ms`.

--- a/hornbeamdeal/dsr/__init__.py
+++ b/hornbeamdeal/dsr/__init__.py
@@ -54,7 +54,7 @@
             "TwoChoices",
             "make_placement",
         ],
-        "_read_scheduler": ["ReadScheduler"],
+        "_read_scheduler": ["CONTACT_SECONDS", "ReadScheduler"],
         "_records": [
             "Route",
             "RouteTable",
--- a/hornbeamdeal/dsr/_catalog_reader.py
+++ b/hornbeamdeal/dsr/_catalog_reader.py
@@ -270,11 +270,15 @@
     def _record_failure(self, error: SourceError, was_reading: bool) -> None:
         now = self.clock.monotonic()
         self.read_scheduler.record_failure(now, error.reason)
+        delay = self.read_scheduler.next_read_delay(self.catalog.confirmed_at, now)
         self.journal.event(
             "read_failed",
             reason=error.reason,
             detail=error,
             was_reading=was_reading,
+            position=self.read_scheduler.position,
+            elected=self.read_scheduler.is_elected_reader,
+            next_ms=round(1000 * delay),
             age_ms=round(1000 * self.catalog.age(now)),
         )
 
--- a/hornbeamdeal/dsr/_read_scheduler.py
+++ b/hornbeamdeal/dsr/_read_scheduler.py
@@ -29,11 +29,16 @@
 FALLBACK_READ_JITTER_SECONDS = 0.2
 # Failures after which a full read is due at once, since the store itself is well.
 _UNKNOWN_POSITION_REASONS = ("compacted", "oversized", "restored")
-# Exponential back-off after failed reads. Elected readers have the lower limit, so
-# that the return of the store is noticed soon.
+# Default time after a disturbance from which on a host must be current again.
+CONTACT_SECONDS = 4.0
+# Pauses after failed reads. The first is short, as a connection may only have been closed.
+# Elected readers double theirs up to a limit, so that the return of the store is noticed
+# soon. Any other host waits for them next, but not for longer than a share of the contact
+# time: nobody can tell it that they are dead or cut off from the store themselves. The rest
+# of that time is for an attempt that still runs when the disturbance ends, and for the read.
 FIRST_RETRY_SECONDS = 0.3
 ELECTED_RETRY_LIMIT_SECONDS = 1.0
-RETRY_LIMIT_SECONDS = 6.0
+RETRY_CONTACT_SHARE = 0.6
 # A reader yields to one before it in the order whose updates are at most this old.
 FRESH_UPDATE_SECONDS = 0.9
 # A reader reloads everything this often, in case a watch omitted a change.
@@ -49,6 +54,8 @@
     ----------
     freshness : float
         Seconds within which a change must be in force on every host.
+    contact : float
+        Seconds after the end of a disturbance within which this host must be current.
     random_state : int or None
         Seed of the random jitter.
 
@@ -65,6 +72,7 @@
     """
 
     __slots__ = (
+        "contact",
         "freshness",
         "is_reading",
         "is_elected_reader",
@@ -85,8 +93,10 @@
         self,
         *,
         freshness: float = FRESHNESS_SECONDS,
+        contact: float = CONTACT_SECONDS,
         random_state: int | None = None,
     ):
+        self.contact = contact
         self.freshness = freshness
         self.random_state = random_state
         self.position: int | None = None
@@ -164,13 +174,20 @@
             self._earliest_read_at = now
             return
         self._failures += 1
-        limit = RETRY_LIMIT_SECONDS
-        if self.is_elected_reader:
-            limit = ELECTED_RETRY_LIMIT_SECONDS
-        retry_delay = min(limit, FIRST_RETRY_SECONDS * 2 ** (self._failures - 1))
-        self._earliest_read_at = now + retry_delay * self._random.uniform(0.7, 1.0)
+        pause = self._retry_pause() * self._random.uniform(0.7, 1.0)
+        self._earliest_read_at = now + pause
         self.is_reading = False
 
+    def _retry_pause(self) -> float:
+        """Return the longest pause after the latest failed read in seconds."""
+        limit = self.contact * RETRY_CONTACT_SHARE
+        # A host that knows no peers has nobody to wait for.
+        waits_for_others = self.position is not None and not self.is_elected_reader
+        if self._failures > 1 and waits_for_others:
+            return limit
+        pause = FIRST_RETRY_SECONDS * 2 ** (self._failures - 1)
+        return min(pause, limit, ELECTED_RETRY_LIMIT_SECONDS)
+
     def record_peer_update(self, position: int, age: float, now: float) -> None:
         """Record a peer's update; yield if it is fresh and the peer precedes this host.
 
--- a/hornbeamdeal/platform/_assembly.py
+++ b/hornbeamdeal/platform/_assembly.py
@@ -127,6 +127,7 @@
         catalog=forwarder.catalog,
         read_scheduler=ReadScheduler(
             freshness=settings.freshness_seconds,
+            contact=settings.contact_seconds,
             random_state=random.getrandbits(32),
         ),
         server_health=forwarder.server_health,
--- a/hornbeamdeal/platform/_settings.py
+++ b/hornbeamdeal/platform/_settings.py
@@ -4,6 +4,7 @@
 import os
 from typing import Any
 
+from hornbeamdeal.dsr import CONTACT_SECONDS
 from hornbeamdeal.kernel import (
     MAXIMUM_PORT,
     Endpoint,
@@ -39,7 +40,8 @@
     Mbit/s. `is_first_start` is set at the first start of the whole system. The names
     are logged when the settings are reloaded. `environment` names the hosts that work
     together. `entry_lifetime_seconds` is the time
-    after which the store drops the entry of a silent server. `cold_overage` and
+    after which the store drops the entry of a silent server. `contact_seconds` is the time
+    after a disturbance within which a host must be current. `cold_overage` and
     `cold_slack` bound the new flows of cold servers, None if nothing bounds them;
     `evacuation_seconds` is infinite if there is no bound.
     """
@@ -48,6 +50,7 @@
         "cold_overage",
         "cold_slack",
         "config_apply_seconds",
+        "contact_seconds",
         "drain_seconds",
         "entry_lifetime_seconds",
         "environment",
@@ -127,6 +130,10 @@
         "metrics_port": _internal_port(reader, ports, -1),
         "seed_ips": reader.seed_ips("seeds"),
         "config_apply_seconds": reader.number("bounds", "config_apply_ms") / 1000,
+        # `contact_ms` is the time after a disturbance within which a host must be current.
+        "contact_seconds": _contact_seconds(
+            reader.optional_number("bounds", "contact_ms")
+        ),
         "environment": environment or str(store),
         "drain_seconds": reader.number("bounds", "drain_ms") / 1000,
         # Servers write their entries every `heartbeat_ms`.
@@ -145,6 +152,10 @@
     return NodeSettings(**values)
 
 
+def _contact_seconds(milliseconds: float | None) -> float:
+    return CONTACT_SECONDS if not milliseconds else milliseconds / 1000
+
+
 def _seconds_or_infinite(milliseconds: float | None) -> float:
     return float("inf") if milliseconds is None else milliseconds / 1000
 
--- a/hornbeamdeal/platform/_settings_changes.py
+++ b/hornbeamdeal/platform/_settings_changes.py
@@ -36,6 +36,7 @@
         node.read_scheduler.must_reload = True
     node.environment.rename(new.environment, node.clock.monotonic())
     node.read_scheduler.freshness = new.freshness_seconds
+    node.read_scheduler.contact = new.contact_seconds
     node.catalog.removals.flow_lifetime = new.flow_lifetime_seconds
     node.forwarder.link_queue.link_mbps = new.link_mbps
     waiting = sorted(RESTART_SETTINGS.intersection(old.differences(new)))
--- a/tests/dsr/read_scheduler.feature
+++ b/tests/dsr/read_scheduler.feature
@@ -41,7 +41,7 @@
     Guards against a burst of calls to a store that is down.
     Given the read scheduler of the host at position 30
     When 6 reads fail in a row
-    Then the next read is due in 4.2 s to 6 s
+    Then the next read is due in 1.6 s to 2.4 s
 
   Scenario: a failed read is followed by a full one
     Guards against missing changes that a watch had advanced past before it failed.
--- a/tests/fakes/dsr_fleet_simulation.py
+++ b/tests/fakes/dsr_fleet_simulation.py
@@ -35,6 +35,14 @@
 # Timeout of a request to a store that doesn't answer.
 SILENT_TIMEOUT_SECONDS = 0.7
 WATCH_MARGIN_SECONDS = 0.5
+# Seconds until a request fails, and how, while a host is kept from the store.
+FAILURES_BY_KIND = {
+    "503": (0.0, "unavailable"),
+    "429": (0.0, "throttled"),
+    "reset": (0.0, "lost"),
+    "silence": (SILENT_TIMEOUT_SECONDS, "lost"),
+    "unreachable": (0.5, "lost"),
+}
 START_SPREAD_SECONDS = 0.3
 PUBLISHED_AT = 10.0
 RUN_SECONDS = 20.0
@@ -60,6 +68,7 @@
         self.routes = make_routes(1)
         self.calls = []
         self.refused_hosts = set()
+        self.failure_kinds_by_host = {}
         self.is_down = False
         self.omits_events = False
         self.unanswered_hosts = set()
@@ -147,6 +156,7 @@
         with trio.move_on_after(wait_seconds):
             while store.revision == after_revision or store.omits_events:
                 await self._wait()
+        await self._fail_if_kept_off()
         if self.host_id in store.unanswered_hosts:
             await trio.sleep(WATCH_MARGIN_SECONDS)
             raise SourceError("lost", "no answer")
@@ -197,6 +207,14 @@
             raise SourceError("lost", "no answer")
         if self.host_id in self.store.refused_hosts:
             raise SourceError("unavailable", f"{kind}: status 503")
+        await self._fail_if_kept_off()
+
+    async def _fail_if_kept_off(self):
+        kind = self.store.failure_kinds_by_host.get(self.host_id)
+        if kind is not None:
+            seconds, reason = FAILURES_BY_KIND[kind]
+            await trio.sleep(seconds)
+            raise SourceError(reason, kind)
 
 
 class FleetHost:
