Keep a pause after failed reads with any contact time

Cause: a contact time of some milliseconds in the settings would have made a host call a store that fails without a pause.

Change: no pause limit is below the first pause of 0.3 s.

Measured: the scenario with a contact time of 10 ms in tests/dsr/recovery.feature passes; without the change the pause is 4 to 6 ms by calculation (not run).

--- a/hornbeamdeal/dsr/_read_scheduler.py
+++ b/hornbeamdeal/dsr/_read_scheduler.py
@@ -180,7 +180,7 @@
 
     def _retry_pause(self) -> float:
         """Return the longest pause after the latest failed read in seconds."""
-        limit = self.contact * RETRY_CONTACT_SHARE
+        limit = max(FIRST_RETRY_SECONDS, self.contact * RETRY_CONTACT_SHARE)
         # A host that knows no peers has nobody to wait for.
         waits_for_others = self.position is not None and not self.is_elected_reader
         if self._failures > 1 and waits_for_others:
--- a/tests/dsr/recovery.feature
+++ b/tests/dsr/recovery.feature
@@ -35,6 +35,7 @@
       | 30       | 6       | 2.5   | 3.6  |
       | 0        | 4       | 0.7   | 1.0  |
       | 0        | 1       | 0.4   | 0.6  |
+      | 30       | 0.01    | 0.2   | 0.3  |
 
   Scenario Outline: a store that answers nobody for <seconds> s gets few calls
     Guards against calls that grow as hosts recover sooner: before, 2,000 hosts made
