Bound the records of flows by number

Callers of a machine with little memory could get no answers while others open many flows.

Cause: callers decide how many records a host keeps: one of some 530 bytes for each flow until it was idle for the idle timeout, 106 MB for 200,000 flows.

Change: beyond 65,536 records the oldest is dropped, counted as `flow_records_evicted`. Packets need no record: they go on by their handle.

Test: tests/dsr/forwarding.feature, "any number of flows takes a bounded memory", failed before (140,000 records).

--- a/hornbeamdeal/dsr/_flow_table.py
+++ b/hornbeamdeal/dsr/_flow_table.py
@@ -4,6 +4,9 @@
 from ._records import Route, Server
 
 SWEEP_INTERVAL_SECONDS = 1.0
+# Callers decide how many flows they open. A record takes some 530 bytes, and a host of the
+# target size has 8,000 open flows.
+MAXIMUM_FLOWS = 65_536
 # Callers retransmit after 200 ms at the earliest; packets that are closer together
 # were delayed or duplicated on the way.
 MINIMUM_RETRANSMISSION_SECONDS = 0.15
@@ -134,7 +137,7 @@
 
 
 class FlowTable:
-    """Flow records by key, dropped when idle.
+    """Flow records by key, dropped when idle, and the oldest first beyond a maximum.
 
     Flows without a record are forwarded by their handle all the same; the records
     only hold state for health checks, repeated opening packets and the counts of
@@ -151,6 +154,12 @@
         """Return the record of a flow, or None if there is none."""
         return self.flows_by_key.get(key)
 
+    def oldest_surplus(self) -> bytes | None:
+        """Return the key of the record to drop before another is created, or None."""
+        if len(self.flows_by_key) < MAXIMUM_FLOWS:
+            return None
+        return next(iter(self.flows_by_key))
+
     def open(self, key: bytes, now: float) -> Flow:
         """Create and return the record of a flow."""
         flow = self.flows_by_key[key] = Flow(now)
--- a/hornbeamdeal/dsr/_forwarder.py
+++ b/hornbeamdeal/dsr/_forwarder.py
@@ -165,7 +165,7 @@
         flow = self.flows.get(packet.flow_key)
         if flow is None or not _is_copy(packet, flow):
             self._discard_flow(packet.flow_key, now)
-            flow = self.flows.open(packet.flow_key, now)
+            flow = self._open_flow(packet.flow_key, now)
             flow.opening_sequence = packet.sequence
             flow.route = route
         flow.last_packet_at = now
@@ -373,12 +373,21 @@
 
     def _adopt_flow(self, packet: CallerPacket, now: float) -> Flow:
         """Create the record of a flow opened elsewhere or dropped here when idle."""
-        flow = self.flows.open(packet.flow_key, now)
+        flow = self._open_flow(packet.flow_key, now)
         flow.route = self.catalog.find_route(packet.address_key)
         flow.is_established = True
         flow.acknowledgement = packet.acknowledgement
         return flow
 
+    def _open_flow(self, flow_key: bytes, now: float) -> Flow:
+        """Create the record of a flow; drop the oldest one if there are too many."""
+        surplus_key = self.flows.oldest_surplus()
+        if surplus_key is not None:
+            self.journal.count("flow_records_evicted")
+            self.outstanding.finish(self.flows.get(surplus_key))
+            self.flows.discard(surplus_key)
+        return self.flows.open(flow_key, now)
+
     def _discard_flow(self, flow_key: bytes, now: float) -> None:
         flow = self.flows.get(flow_key)
         if flow is not None:
--- a/tests/dsr/forwarding.feature
+++ b/tests/dsr/forwarding.feature
@@ -196,3 +196,10 @@
     Given a host of a zone with 2 hosts and a cold server besides a warm one
     When 40 flows are opened within 1 second
     Then the cold server gets at most 1 opening and the warm server the others
+
+  Scenario: any number of flows takes a bounded memory
+    Guards against callers that open so many flows that the host exceeds its memory.
+    Given a dsr host that knows servers 1,2,3
+    When 70000 callers open flows and 70000 others send data on flows opened elsewhere
+    Then the host has 65536 records of flows and counts no more as outstanding
+    And the first caller's flow is still forwarded to its server
--- a/tests/steps/dsr_forwarding_steps.py
+++ b/tests/steps/dsr_forwarding_steps.py
@@ -406,3 +406,35 @@
     counts = Counter(context.numbers)
     assert counts[1] == 1, counts
     assert counts[2] == len(context.numbers) - 1, counts
+
+
+def caller_of(number):
+    return f"100.64.{number >> 14}.{1 + (number >> 8 & 63)}:{1000 + (number & 255)}"
+
+
+@when(
+    "{openings:d} callers open flows and {others:d} others send data on flows"
+    " opened elsewhere"
+)
+def when_many_flows(context, openings, others):
+    host = context.host
+    context.first_handle = host.establish(caller_of(0))
+    for number in range(1, openings):
+        host.open_flow(caller_of(number))
+        host.sent.clear()
+    for number in range(openings, openings + others):
+        host.send_data(caller_of(number), context.first_handle)
+        host.sent.clear()
+
+
+@then("the host has {count:d} records of flows and counts no more as outstanding")
+def then_flow_count(context, count):
+    forwarder = context.host.forwarder
+    assert len(forwarder.flows.flows_by_key) == count
+    assert len(forwarder.outstanding.waiting_flows_) <= count
+
+
+@then("the first caller's flow is still forwarded to its server")
+def then_first_forwarded(context):
+    [(datagram, _)] = context.host.send_data(caller_of(0), context.first_handle)
+    assert handle_in(datagram) == context.first_handle
