Refuse a settings file of more than 256 KiB

Cause: a node rereads its settings while it runs and decoded a file of any size.

Change: at most 262,144 characters are read; the settings in force stay.

Test: tests/platform/settings.feature, "a settings file of any size takes a bounded memory": before, a file of 50 MB was decoded in full.

--- a/hornbeamdeal/platform/_settings.py
+++ b/hornbeamdeal/platform/_settings.py
@@ -21,6 +21,8 @@
 LAPSE_HEARTBEATS = 3
 # Interval of a platform whose settings don't tell it.
 DEFAULT_HEARTBEAT_MILLISECONDS = 1200
+# A settings file has a few kilobytes.
+MAXIMUM_FILE_BYTES = 262_144
 # Larger numbers and those that are no number are errors of the file.
 MAXIMUM_NUMBER = 10**12
 
@@ -94,8 +96,11 @@
         raise SettingsError(text)
     try:
         with open(path, encoding="utf-8") as file:
-            environment = os.environ.get(ENVIRONMENT_VARIABLE, "")
-            return decode_settings(json.load(file), environment)
+            text = file.read(MAXIMUM_FILE_BYTES + 1)
+        if len(text) > MAXIMUM_FILE_BYTES:
+            raise ValueError(f"more than {MAXIMUM_FILE_BYTES} characters")
+        environment = os.environ.get(ENVIRONMENT_VARIABLE, "")
+        return decode_settings(json.loads(text), environment)
     except (OSError, ValueError, RecursionError) as error:
         text = f"{path} can't be read as JSON ({error}); use deploy/settings.template"
         raise SettingsError(text) from error
--- a/tests/platform/settings.feature
+++ b/tests/platform/settings.feature
@@ -54,3 +54,8 @@
       | name       | result          |
       | unnamed    | 10.200.1.7:8169 |
       | production | production      |
+
+  Scenario: a settings file of any size takes a bounded memory
+    Guards against a file that fills the memory of a node that rereads it.
+    When a settings file of 50000000 bytes is loaded
+    Then it is refused with its path and at most 8 MiB were taken
--- a/tests/steps/platform_settings_steps.py
+++ b/tests/steps/platform_settings_steps.py
@@ -1,6 +1,8 @@
 """Steps for the settings of a node and their changes."""
 
 import copy
+import tempfile
+import tracemalloc
 
 import trio
 from behave import given, then, when
@@ -17,7 +19,11 @@
     ZoneReach,
 )
 from hornbeamdeal.kernel import Endpoint, SystemClock
-from hornbeamdeal.platform._settings import SettingsError, decode_settings
+from hornbeamdeal.platform._settings import (
+    SettingsError,
+    decode_settings,
+    load_settings,
+)
 from hornbeamdeal.platform._settings_changes import apply_settings
 from hornbeamdeal.platform._store import StoreSource
 from hornbeamdeal.wire import HttpClient
@@ -221,3 +227,24 @@
 @then("the node's environment is {name}")
 def then_environment(context, name):
     assert context.settings.environment == name
+
+
+@when("a settings file of {size:d} bytes is loaded")
+def when_large_file(context, size):
+    with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+        file.write('{"node_name": "a", "x": [' + "0," * (size // 2) + "0]}")
+        file.flush()
+        context.path = file.name
+        tracemalloc.start()
+        try:
+            load_settings(file.name)
+        except SettingsError as error:
+            context.error = error
+        _, context.peak_bytes = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+
+
+@then("it is refused with its path and at most {size:d} MiB were taken")
+def then_refused(context, size):
+    assert context.path in str(context.error), context.error
+    assert context.peak_bytes <= size * 1024 * 1024, context.peak_bytes
