Bound the memory of messages that are received from peers

Cause: 32 connections could bring 2 MiB each at once, connections beyond that waited with what they had sent, and an element of a list takes a byte of a message and a kilobyte once decoded.

Change: messages being received share 8 MiB, as many connections wait as are served and others are closed, and a list of a message has at most 30,000 elements, twice the servers of the target size.

--- a/hornbeamdeal/wire/_connections.py
+++ b/hornbeamdeal/wire/_connections.py
@@ -42,11 +42,16 @@
 ) -> None:
     """Serve each connection within a time limit, until cancelled.
 
-    Beyond `maximum_connections`, accepted connections wait.
+    Beyond `maximum_connections`, as many accepted connections wait and others are closed,
+    since the data that they have sent takes memory of the process.
     """
     limit = trio.CapacityLimiter(maximum_connections)
 
     async def serve_connection(stream: trio.SocketStream) -> None:
+        if limit.statistics().tasks_waiting >= maximum_connections:
+            await run_contained(stream.aclose, record_error)
+            return
+
         async def serve_in_time() -> None:
             async with limit, stream:
                 with trio.move_on_after(timeout_seconds):
--- a/hornbeamdeal/wire/_peer.py
+++ b/hornbeamdeal/wire/_peer.py
@@ -16,7 +16,13 @@
 MAXIMUM_DATAGRAM_BYTES = 1200
 MINIMUM_KEY_BYTES = 16
 
-_protocol_factory = TCompactProtocolAcceleratedFactory()
+# A full copy of the catalog lists 15,000 servers at the target size. An element may take a
+# byte of a message and a kilobyte once decoded.
+MAXIMUM_ELEMENTS = 30_000
+
+_protocol_factory = TCompactProtocolAcceleratedFactory(
+    container_length_limit=MAXIMUM_ELEMENTS
+)
 _FIELD_NAMES_BY_TYPE = {
     ttypes.Ping: "ping",
     ttypes.PingReply: "ping_reply",
--- a/hornbeamdeal/wire/_ports.py
+++ b/hornbeamdeal/wire/_ports.py
@@ -17,6 +17,9 @@
 LENGTH_BYTES = 4
 BULK_TIMEOUT_SECONDS = 2.0
 MAXIMUM_BULK_CONNECTIONS = 32
+# Of all messages that are being received. Few large ones come at a time, since a host asks
+# one peer for a full copy.
+MAXIMUM_BUFFERED_BYTES = 8 * 1024 * 1024
 
 DatagramHandler = Callable[[bytes, Endpoint], None]
 
@@ -67,9 +70,12 @@
 
 
 class BulkPort:
-    """A TCP port for messages too large for a datagram, one per connection."""
+    """A TCP port for messages too large for a datagram, one per connection.
 
-    __slots__ = ("handle_datagram", "listen", "record_error")
+    A message is dropped if the ones being received would take too much memory.
+    """
+
+    __slots__ = ("handle_datagram", "listen", "record_error", "_buffered_bytes")
 
     def __init__(
         self,
@@ -81,6 +87,7 @@
         self.listen = listen
         self.handle_datagram = handle_datagram
         self.record_error = record_error
+        self._buffered_bytes = 0
 
     async def send(self, data: bytes, destination: Endpoint) -> None:
         """Send one message; drop it without an error if that fails or times out."""
@@ -111,10 +118,15 @@
     async def _receive_message(self, stream: trio.SocketStream) -> None:
         peer = stream.socket.getpeername()
         buffer = bytearray()
-        while chunk := await stream.receive_some():
-            buffer += chunk
-            if len(buffer) > MAXIMUM_BULK_BYTES + LENGTH_BYTES:
-                return
+        try:
+            while chunk := await stream.receive_some():
+                buffer += chunk
+                self._buffered_bytes += len(chunk)
+                is_too_long = len(buffer) > MAXIMUM_BULK_BYTES + LENGTH_BYTES
+                if is_too_long or self._buffered_bytes > MAXIMUM_BUFFERED_BYTES:
+                    return
+        finally:
+            self._buffered_bytes -= len(buffer)
         length = int.from_bytes(buffer[:LENGTH_BYTES], "big")
         if len(buffer) == length + LENGTH_BYTES:
             self.handle_datagram(
