Bound the removals that a catalog remembers

Cause: an unusable entry under servers/ counts as a removal, remembered for 70 s, so that another writer decides how many there are.

Change: beyond 30,000 the earliest is forgotten, twice the servers of the target size.

Test: tests/dsr/catalog.feature, "any number of removals takes a bounded memory": before, all 100,000 were remembered (by reading; not run on the code before).

--- a/hornbeamdeal/dsr/_removals.py
+++ b/hornbeamdeal/dsr/_removals.py
@@ -5,6 +5,9 @@
 
 # Removed servers are kept for the flow lifetime plus this margin.
 RETENTION_MARGIN_SECONDS = 10.0
+# Revisions that are kept, the latest ones. Other writers' unusable entries count as removals
+# as well, and the target size has 15,000 servers.
+MAXIMUM_REVISIONS = 30_000
 
 
 class Removal:
@@ -66,7 +69,11 @@
     def record(self, server_id: str, revision: int, now: float) -> None:
         """Record a removal, of which older news may arrive later."""
         last = self.revision_of(server_id)
+        # The latest comes last, so that the first is the one to forget.
+        self._revisions_by_id.pop(server_id, None)
         self._revisions_by_id[server_id] = (max(last, revision), now)
+        if len(self._revisions_by_id) > MAXIMUM_REVISIONS:
+            del self._revisions_by_id[next(iter(self._revisions_by_id))]
 
     def record_complete(self, revision: int) -> None:
         """Record that all entries of a revision are known."""
--- a/tests/dsr/catalog.feature
+++ b/tests/dsr/catalog.feature
@@ -42,6 +42,12 @@
     Given a catalog to which 500 removals of unknown servers come within 1000 s
     Then it remembers at most 50 of them
 
+  Scenario: any number of removals takes a bounded memory
+    Guards against other writers' unusable entries, each of which counts as a removal.
+    Given a catalog with version 5
+    When 100000 servers that were never listed are removed
+    Then the catalog remembers 30000 removals, the latest among them
+
   Scenario: an answer that raises an unexpected error does not end the reader
     Guards against one answer of the store that ends every node which reads it.
     When a reader gets an answer that raises an unexpected error
--- a/tests/steps/dsr_catalog_steps.py
+++ b/tests/steps/dsr_catalog_steps.py
@@ -388,3 +388,19 @@
 @then("zone {zone} is not evacuated")
 def then_zone_not_evacuated(context, zone):
     assert not context.catalog.evacuations.is_evacuated(zone)
+
+
+@when("{count:d} servers that were never listed are removed")
+def when_many_removed(context, count):
+    for first in range(0, count, 1000):
+        removed = {f"x-{n:x}": 10 + n for n in range(first, first + 1000)}
+        update = make_update(10 + first + 1000, base=3, removed=removed)
+        context.catalog.apply(update, 1.0)
+    context.last_id = f"x-{count - 1:x}"
+
+
+@then("the catalog remembers {count:d} removals, the latest among them")
+def then_remembers(context, count):
+    removals = context.catalog.removals
+    assert len(removals._revisions_by_id) == count
+    assert removals.revision_of(context.last_id) > 0
