Name what a long full read watches between its pages

Cause: the mode was a text, and an update of the configuration alone counted the store's whole revision as read ahead, so that peers needed full copies after it though no entry was.

Change: an enumeration; such an update counts the revisions of its own entries.

--- a/hornbeamdeal/dsr/_catalog_reader.py
+++ b/hornbeamdeal/dsr/_catalog_reader.py
@@ -1,5 +1,6 @@
 """Reads the store when the schedule requires it and applies the answers."""
 
+from enum import Enum
 from typing import Any, Protocol
 
 import trio
@@ -29,6 +30,14 @@
 _ENTRY_CHANGES = ("listed", "unconfirmed")
 
 
+class PageWatch(Enum):
+    """What a full read that takes long watches between its pages."""
+
+    EVERYTHING = "everything"
+    CONFIGURATION = "configuration"
+    NOTHING = "nothing"
+
+
 class ReadBase:
     """State of the catalog to which an answer of the store was applied."""
 
@@ -111,8 +120,7 @@
         self.server_speeds = server_speeds
         self.peering: Broadcaster | None = None
         self._configuration_watch_due = float("-inf")
-        # What a full read in progress watches between its pages.
-        self._page_watch = "all"
+        self._page_watch = PageWatch.EVERYTHING
 
     def handle_server_changes(self, changes: list[tuple[str, Any]]) -> None:
         """Log changes of servers and discard what was known of removed ones.
@@ -230,7 +238,7 @@
     async def _reload(self) -> None:
         started = self.clock.monotonic()
         epoch, revision = self.catalog.epoch, self.catalog.revision
-        self._page_watch = "all"
+        self._page_watch = PageWatch.EVERYTHING
         update = await self.source.load(
             may_be_stale=False, after_page=self._watch_between_pages
         )
@@ -253,15 +261,22 @@
         if self.catalog.age(now) < PAGE_WATCH_AGE_SECONDS:
             return
         try:
-            if self._page_watch == "all":
+            if self._page_watch is PageWatch.EVERYTHING:
                 await self._watch(wait_seconds=0.0)
-            elif self._page_watch == "configuration":
+            elif self._page_watch is PageWatch.CONFIGURATION:
                 await self._watch_configuration(now)
         except SourceError as error:
-            is_oversized = error.reason == "oversized" and self._page_watch == "all"
-            self._page_watch = "configuration" if is_oversized else "nothing"
+            self._narrow_page_watch(error.reason)
             self.journal.event("page_watch_failed", reason=error.reason, detail=error)
 
+    def _narrow_page_watch(self, reason: str) -> None:
+        """Watch less until the end of the full read, after a watch that failed."""
+        had_everything = self._page_watch is PageWatch.EVERYTHING
+        if reason == "oversized" and had_everything:
+            self._page_watch = PageWatch.CONFIGURATION
+        else:
+            self._page_watch = PageWatch.NOTHING
+
     async def _watch_configuration(self, now: float) -> None:
         if now < self._configuration_watch_due:
             return
@@ -269,7 +284,8 @@
         epoch, revision = self.catalog.epoch, self.catalog.revision
         update = await self.source.watch_configuration(revision)
         if update.epoch != epoch:
-            raise SourceError("restored", f"a watch was answered in epoch {epoch}")
+            text = f"a watch from epoch {epoch} was answered in epoch {update.epoch}"
+            raise SourceError("restored", text)
         # It tells nothing of servers, so that the catalog is as old as before.
         self._apply_answer(update, self.catalog.confirmed_at)
 
--- a/hornbeamdeal/platform/_store.py
+++ b/hornbeamdeal/platform/_store.py
@@ -135,9 +135,13 @@
         """
         response = await self._watch(OPERATOR_PREFIX, after_revision, 0.0)
         builder = self._start_update(after_revision, after_revision)
-        builder.update.newest_revision = response["as_of"]
         self._add(builder, self._list_in(response, "events"))
-        return builder.build()
+        update = builder.build()
+        zone_revisions = [state.revision for state in update.zones]
+        update.newest_revision = max(
+            after_revision, update.routes_revision, *zone_revisions
+        )
+        return update
 
     async def _watch(
         self, prefix: str, after_revision: int, wait_seconds: float
