Watch only the configuration in a full read after a failure

Cause: the watch between the pages of a full read began at the position from before the failure.

Evidence: page_watch_failed and read_failed, reason lost, by turns at all three nodes for 50 s, with age_ms up to 50,399.

Change: after a failure, or once a watch between pages has failed, the full read asks for the changes of the configuration alone.

Test: tests/dsr/long_reads.feature, "full reads after a failure ask for the changes of the configuration alone"; its first form, without the commit's change, failed.

--- a/hornbeamdeal/dsr/_catalog_reader.py
+++ b/hornbeamdeal/dsr/_catalog_reader.py
@@ -238,7 +238,12 @@
     async def _reload(self) -> None:
         started = self.clock.monotonic()
         epoch, revision = self.catalog.epoch, self.catalog.revision
-        self._page_watch = PageWatch.EVERYTHING
+        # After a failure the position may be old, and an answer with all changes since may
+        # cost the store more than the full read, which would keep it from recovering.
+        is_after_failure = self.read_scheduler.must_reload
+        self._page_watch = (
+            PageWatch.CONFIGURATION if is_after_failure else PageWatch.EVERYTHING
+        )
         update = await self.source.load(
             may_be_stale=False, after_page=self._watch_between_pages
         )
@@ -253,9 +258,9 @@
     async def _watch_between_pages(self) -> None:
         """Read the changes since the catalog's revision if it is old.
 
-        What the full read then shows of an earlier revision does not replace them. If
-        there are too many changes, this reads those of the configuration; servers' changes
-        come with the full read, as all do if the store can't tell any.
+        What the full read then shows of an earlier revision does not replace them. Once
+        that fails, this reads the changes of the configuration; those of servers then
+        come with the full read.
         """
         now = self.clock.monotonic()
         if self.catalog.age(now) < PAGE_WATCH_AGE_SECONDS:
@@ -266,17 +271,12 @@
             elif self._page_watch is PageWatch.CONFIGURATION:
                 await self._watch_configuration(now)
         except SourceError as error:
-            self._narrow_page_watch(error.reason)
+            had_everything = self._page_watch is PageWatch.EVERYTHING
+            self._page_watch = (
+                PageWatch.CONFIGURATION if had_everything else PageWatch.NOTHING
+            )
             self.journal.event("page_watch_failed", reason=error.reason, detail=error)
 
-    def _narrow_page_watch(self, reason: str) -> None:
-        """Watch less until the end of the full read, after a watch that failed."""
-        had_everything = self._page_watch is PageWatch.EVERYTHING
-        if reason == "oversized" and had_everything:
-            self._page_watch = PageWatch.CONFIGURATION
-        else:
-            self._page_watch = PageWatch.NOTHING
-
     async def _watch_configuration(self, now: float) -> None:
         if now < self._configuration_watch_due:
             return
--- a/tests/dsr/long_reads.feature
+++ b/tests/dsr/long_reads.feature
@@ -22,7 +22,7 @@
     And a store whose history is gone
     When a version is written 2 s after a full read began
     Then the full read was completed
-    And the store got 1 watch
+    And the store got 1 watch of everything
 
   Scenario: a version is in force while there are too many changes for a watch
     Guards against writers of large entries that keep the configuration from a host.
@@ -32,6 +32,14 @@
     Then the version is in force after at most 3 s
     And no update tells that the servers are known as of the version's revision
 
+  Scenario: full reads after a failure ask for the changes of the configuration alone
+    Guards against answers with all changes of a long time, which cost the store more than
+    the full read and keep it from recovering as hosts ask again.
+    Given a reader of a store with 40 pages of 0.25 s each
+    When 5 full reads fail after 2 s each
+    Then the store got 0 watches of everything
+    And it got watches of the configuration
+
   Scenario: a read that peers have made needless ends
     Guards against a start that goes on to read what peers have sent.
     Given a host that starts with a store of 40 pages of 0.25 s each
--- a/tests/steps/dsr_long_reads_steps.py
+++ b/tests/steps/dsr_long_reads_steps.py
@@ -31,12 +31,16 @@
         self.page_seconds = page_seconds
         self.has_history = True
         self.is_flooded = False
+        self.fails_after = float("inf")
         self.watches = 0
+        self.configuration_watches = 0
 
     async def load(self, may_be_stale, after_page=None):
         answer = self.store.read()
         for page in range(self.pages):
             await trio.sleep(self.page_seconds)
+            if (page + 1) * self.page_seconds > self.fails_after:
+                raise SourceError("lost", "no answer")
             if page < self.pages - 1 and after_page is not None:
                 await after_page()
         return answer
@@ -50,6 +54,7 @@
         return self.store.watch(after_revision)
 
     async def watch_configuration(self, after_revision):
+        self.configuration_watches += 1
         answer = self.store.watch(after_revision)
         return Update(
             base_revision=after_revision,
@@ -101,9 +106,11 @@
         self.host.catalog.apply(self.store.read(), START)
         self.host.catalog.confirm(START)
 
-    async def read_fully(self):
-        """Make one full read."""
-        self.reader.read_scheduler.must_reload = True
+    async def read_fully(self, is_after_failure=False):
+        """Make one full read, a reader's regular one or one after a failure."""
+        self.reader.read_scheduler.is_reading = True
+        self.reader.read_scheduler.reload_due = float("-inf")
+        self.reader.read_scheduler.must_reload = is_after_failure
         started = trio.current_time()
         await self.reader._read()
         self.read_seconds = trio.current_time() - started
@@ -188,11 +195,30 @@
     assert not reading.reader.read_scheduler.must_reload
 
 
-@then("the store got {count:d} watch")
+@then("the store got {count:d} watch of everything")
+@then("the store got {count:d} watches of everything")
 def then_watches(context, count):
     assert context.reading.source.watches == count, context.reading.source.watches
 
 
+@then("it got watches of the configuration")
+def then_configuration_watches(context):
+    assert context.reading.source.configuration_watches > 0
+
+
+@when("{count:d} full reads fail after {seconds:g} s each")
+def when_reads_fail(context, count, seconds):
+    reading = context.reading
+    reading.source.fails_after = seconds
+
+    async def read_often():
+        for _ in range(count):
+            await reading.read_fully(is_after_failure=True)
+            assert reading.reader.read_scheduler.must_reload
+
+    reading.run(read_often)
+
+
 @when("a server leaves {seconds:g} s after a full read began")
 def when_leaves(context, seconds):
     reading = context.reading
